Watch the store with one short watch, so that a lost answer can't hide a leaving server

Cause: a watch of 20 s whose answer is lost hears nothing and doesn't end; its connection lives, so that keep-alive probes find nothing. Ruled out: a lost path (no store-lost was logged, renewals of the lease went on). One watch for all prefixes in place of three, so that the shorter wait asks for few more calls.

--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetWatchDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetWatchDuty.java
@@ -13,13 +13,16 @@
 import org.daisyscale.router.serving.StoreException;
 
 /**
- * Watches one prefix of the store and tells its listener of each item. Items that are missing after the store was out
- * of reach are told as removed only after a grace, within which their writers may write them again. One step is for
- * one thread.
+ * Watches the store and tells the listener of its prefix of each item. One watch covers all prefixes; it is short,
+ * since a watch whose answer is lost hears nothing and doesn't end. Items that are missing after the store was out of
+ * reach are told as removed only after a grace, within which their writers may write them again. One step is for one
+ * thread.
  */
 final class FleetWatchDuty {
-    /** The wait of one watch, in milliseconds; keep-alive probes find a lost connection much sooner. */
-    private static final long WAIT_MILLIS = 20_000;
+    /** The prefix of all items. */
+    private static final String EVERYTHING = "";
+    /** The wait of one watch, in milliseconds: with the time for a lost answer, below the 2 s to follow a change. */
+    private static final long WAIT_MILLIS = 900;
     /** The first and the longest pause after a failed call, in milliseconds. */
     private static final long MIN_PAUSE_MILLIS = 40;
 
@@ -30,8 +33,7 @@
     private static final long RETURN_MILLIS = 2_000;
 
     private final CoordinationStore store;
-    private final String prefix;
-    private final Listener listener;
+    private final Map<String, Listener> listenerByPrefix;
     private final long gatherMillis;
     private final Backoff backoff = new Backoff(MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS);
     private final Map<String, Item> known = new HashMap<>();
@@ -44,24 +46,21 @@
     private long returnedNanos;
 
     /** Creates the duty; changes that follow one within {@code gatherMillis} come with one call. */
-    FleetWatchDuty(CoordinationStore store, String prefix, long gatherMillis, Listener listener) {
+    FleetWatchDuty(CoordinationStore store, long gatherMillis, Map<String, Listener> listenerByPrefix) {
         this.store = store;
-        this.prefix = prefix;
         this.gatherMillis = gatherMillis;
-        this.listener = listener;
+        this.listenerByPrefix = Map.copyOf(listenerByPrefix);
     }
 
     /** Reads or waits once. */
     void runStep() throws InterruptedException {
         try {
             if (isListed) {
-                Optional<Changes> changes = store.watch(prefix, revision, nextWait());
+                Optional<Changes> changes = store.watch(EVERYTHING, revision, nextWait());
                 noteBack();
                 changes.ifPresentOrElse(this::apply, this::historyLost);
             } else {
-                CoordinationStore.Listing listing = store.list(prefix);
-                noteBack();
-                apply(listing);
+                list();
             }
             backoff.reset();
             Thread.sleep(gatherMillis);
@@ -73,11 +72,23 @@
         removeMissing();
     }
 
+    private void list() {
+        Map<String, CoordinationStore.Listing> listings = new HashMap<>();
+        listenerByPrefix.keySet().forEach(prefix -> listings.put(prefix, store.list(prefix)));
+        noteBack();
+        listings.forEach(this::apply);
+        revision = listings.values().stream()
+                .mapToLong(CoordinationStore.Listing::revision)
+                .min()
+                .orElse(0);
+        isListed = true;
+    }
+
     private void noteAway(StoreException failure) {
         if (!isAway) {
             isAway = true;
             awaySinceNanos = System.nanoTime();
-            EventLog.warn("store-lost", "prefix=" + prefix + " revision=" + revision + " reason=" + failure.detail());
+            EventLog.warn("store-lost", "revision=" + revision + " reason=" + failure.detail());
         }
     }
 
@@ -86,7 +97,7 @@
             isAway = false;
             returnedNanos = System.nanoTime();
             wasLongAway = returnedNanos - awaySinceNanos >= LAPSE_MILLIS * 1_000_000L;
-            EventLog.info("store-regained", "prefix=" + prefix + " revision=" + revision);
+            EventLog.info("store-regained", "revision=" + revision);
         }
     }
 
@@ -94,23 +105,21 @@
         return Duration.ofMillis(missingSinceNanos.isEmpty() ? WAIT_MILLIS : RETURN_MILLIS / 4);
     }
 
-    private void apply(CoordinationStore.Listing listing) {
+    private void apply(String prefix, CoordinationStore.Listing listing) {
         Map<String, Item> listed = new HashMap<>();
         listing.items().forEach(item -> listed.put(item.key(), item));
         for (String key : Map.copyOf(known).keySet()) {
-            if (!listed.containsKey(key)) {
+            if (key.startsWith(prefix) && !listed.containsKey(key)) {
                 missing(key);
             }
         }
         listed.values().forEach(this::written);
-        revision = listing.revision();
-        isListed = true;
-        listener.listed();
+        listenerByPrefix.get(prefix).listed();
     }
 
     private void historyLost() {
         isListed = false;
-        EventLog.info("store-history-lost", "prefix=" + prefix + " revision=" + revision);
+        EventLog.info("store-history-lost", "revision=" + revision);
     }
 
     private void apply(Changes changes) {
@@ -132,11 +141,21 @@
         missingSinceNanos.remove(item.key());
         Item before = known.get(item.key());
         if (before == null || before.revision() < item.revision()) {
-            known.put(item.key(), item);
-            listener.written(item);
+            listener(item.key()).ifPresent(listener -> {
+                known.put(item.key(), item);
+                listener.written(item);
+            });
         }
     }
 
+    /** The listener of {@code key}; empty for items that nobody asked for. */
+    private Optional<Listener> listener(String key) {
+        return listenerByPrefix.entrySet().stream()
+                .filter(entry -> key.startsWith(entry.getKey()))
+                .map(Map.Entry::getValue)
+                .findFirst();
+    }
+
     private void missing(String key) {
         if (!known.containsKey(key)) {
             return;
@@ -163,7 +182,7 @@
     private void removed(String key) {
         missingSinceNanos.remove(key);
         known.remove(key);
-        listener.removed(key);
+        listener(key).ifPresent(listener -> listener.removed(key));
     }
 
     /** Is told of items, by the thread of the duty. */
@@ -175,7 +194,7 @@
         /** The item is gone. */
         void removed(String key);
 
-        /** All items have been told. */
+        /** All items of the prefix have been told. */
         void listed();
     }
 }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -1,5 +1,6 @@
 package org.daisyscale.router.internal.serving;
 
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.daisyscale.core.keys.KeyAction;
@@ -66,12 +67,10 @@
             Directory directory = new Directory(dialect.fleet(), wait(servingEvents), wait(keyEvents), readiness);
             try (DutyThread decisions = DutyThread.start("decisions", servingDuty(loop, controller)::runStep);
                     DutyThread keys = DutyThread.start("keys", keyDuty(loop, controller)::runStep);
-                    DutyThread operators = watch(store, dialect.fleet().operatorPrefix(), directory.operators());
-                    DutyThread servers = watch(store, dialect.fleet().serverPrefix(), directory.servers());
-                    DutyThread routers = watch(
-                            store,
-                            StoreKeys.PREFIX,
-                            directory.routers(settings.serving().routerId(), lease, controller));
+                    DutyThread watch = DutyThread.start(
+                            "watch",
+                            new FleetWatchDuty(store, GATHER_MILLIS, listeners(directory, lease, controller))
+                                    ::runStep);
                     DutyThread leases = DutyThread.start("lease", lease::runStep);
                     DutyThread polls = DutyThread.start(
                             "key-map-polls", new KeyMapPollDuty(store, controller, wait(servingEvents))::runStep);
@@ -114,9 +113,16 @@
         return new KeyDuty(controller, keyEvents, mapWork, link, loop, dialect.backends(), metrics);
     }
 
-    private static DutyThread watch(StoreClient store, String prefix, FleetWatchDuty.Listener listener) {
-        FleetWatchDuty duty = new FleetWatchDuty(store, prefix, GATHER_MILLIS, listener);
-        return DutyThread.start("watch-" + prefix, duty::runStep);
+    private Map<String, FleetWatchDuty.Listener> listeners(
+            Directory directory, LeaseDuty lease, ControllerLink controller) {
+        String routerId = settings.serving().routerId();
+        return Map.of(
+                dialect.fleet().operatorPrefix(),
+                directory.operators(),
+                dialect.fleet().serverPrefix(),
+                directory.servers(),
+                StoreKeys.PREFIX,
+                directory.routers(routerId, lease, controller));
     }
 
     private void answerReadiness(Context context) {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/StoreClient.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/StoreClient.java
@@ -25,8 +25,8 @@
 public final class StoreClient implements CoordinationStore {
     /** The time for an answer that needs no waiting, in milliseconds: over a hundred times the usual. */
     private static final long CALL_MILLIS = 600;
-    /** What a watch may take beyond its wait, in milliseconds. */
-    private static final long WATCH_MARGIN_MILLIS = 1_500;
+    /** What a watch may take beyond its wait, in milliseconds: as long as other calls take with a slow store. */
+    private static final long WATCH_MARGIN_MILLIS = 500;
     /** How much longer than the call the caller waits for its end, in milliseconds. */
     private static final long END_MARGIN_MILLIS = 1_000;
 
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FleetWatchDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FleetWatchDutyTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.daisyscale.core.platform.CoordinationStore;
 import org.daisyscale.router.serving.StoreException;
@@ -15,7 +16,7 @@
 class FleetWatchDutyTest {
     private final ScriptedStore store = new ScriptedStore();
     private final List<String> told = new ArrayList<>();
-    private final FleetWatchDuty duty = new FleetWatchDuty(store, "servers/", 0, new FleetWatchDuty.Listener() {
+    private final FleetWatchDuty.Listener listener = new FleetWatchDuty.Listener() {
         @Override
         public void written(CoordinationStore.Item item) {
             told.add("written " + item.key() + "@" + item.revision());
@@ -30,7 +31,8 @@
         public void listed() {
             told.add("listed");
         }
-    });
+    };
+    private final FleetWatchDuty duty = new FleetWatchDuty(store, 0, Map.of("servers/", listener));
 
     private static CoordinationStore.Item item(String key, long revision) {
         return new CoordinationStore.Item(key, new byte[0], revision);
@@ -65,6 +67,18 @@
         assertThat(told).contains("removed servers/a", "written servers/b@8");
     }
 
+    @Test
+    void shouldPassOverItemsThatNobodyAskedFor() throws InterruptedException {
+        store.listings.add(new CoordinationStore.Listing(List.of(), 5));
+        store.watches.add(Optional.of(new CoordinationStore.Changes(
+                List.of(new CoordinationStore.ItemChange("keys/s", Optional.of(item("keys/s", 6)))), 6)));
+
+        duty.runStep();
+        duty.runStep();
+
+        assertThat(told).containsExactly("listed");
+    }
+
     @Test
     void shouldListAgainWhenAWatchWasCut() throws InterruptedException {
         store.listings.add(new CoordinationStore.Listing(List.of(item("servers/a", 4)), 5));
