Follow the store by the controller's progress; list again whenever a watch may have missed a change

Now an empty answer of a store that moved on is followed by a list, and nothing is skipped; the controller's watches are short, and it tells the others how far it has read. They give up a watch that lies behind, and watch shortly while nobody tells them.

--- a/daisyscale-core/src/main/java/org/daisyscale/core/peer/PeerMessage.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/peer/PeerMessage.java
@@ -276,4 +276,12 @@
      * @param map the newest map that lies in the store
      */
     record KeyMapUpdate(KeyMap map) implements PeerMessage {}
+
+    /**
+     * Tells a router how far the controller has read the store, as of now.
+     *
+     * @param prefix the prefix of the items that were read
+     * @param revision the store's revision of the last change under the prefix
+     */
+    record StoreProgress(String prefix, long revision) implements PeerMessage {}
 }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/platform/CoordinationStore.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/platform/CoordinationStore.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 /**
  * The platform's store where routers keep what must last: items by key, changed under conditions, watched by prefix,
@@ -23,9 +24,10 @@
     /**
      * The changes under {@code prefix} since {@code afterRevision}, as soon as there is one or when {@code wait} ends.
      *
-     * @return empty when the store no longer has that history
+     * @param isOverdue asked while the call waits; once it holds, the call is given up
+     * @return empty when the store no longer has that history or the call was given up: then list again
      */
-    Optional<Changes> watch(String prefix, long afterRevision, Duration wait);
+    Optional<Changes> watch(String prefix, long afterRevision, Duration wait, BooleanSupplier isOverdue);
 
     /** Writes all of {@code change} or nothing. */
     WriteEnd write(Change change);
@@ -69,9 +71,10 @@
      * One change. Immutable.
      *
      * @param key the key
+     * @param revision the revision of the change
      * @param item what was written; empty when the key was removed
      */
-    record ItemChange(String key, Optional<Item> item) {}
+    record ItemChange(String key, long revision, Optional<Item> item) {}
 
     /**
      * A change under a condition. Immutable.
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/peer/PeerOutbox.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/peer/PeerOutbox.java
@@ -32,7 +32,8 @@
                 || message instanceof PeerMessage.ConfigurationUpdate
                 || message instanceof PeerMessage.RangeReport
                 || message instanceof PeerMessage.KeyLoadReport
-                || message instanceof PeerMessage.KeyMapUpdate;
+                || message instanceof PeerMessage.KeyMapUpdate
+                || message instanceof PeerMessage.StoreProgress;
     }
 
     synchronized void open() {
@@ -79,17 +80,20 @@
             return new RangeKey(report.service(), report.range());
         }
         if (message instanceof PeerMessage.KeyLoadReport report) {
-            return new ServiceKey(PeerMessage.KeyLoadReport.class, report.load().service());
+            return new NamedKey(PeerMessage.KeyLoadReport.class, report.load().service());
         }
         if (message instanceof PeerMessage.KeyMapUpdate update) {
-            return new ServiceKey(PeerMessage.KeyMapUpdate.class, update.map().service());
+            return new NamedKey(PeerMessage.KeyMapUpdate.class, update.map().service());
+        }
+        if (message instanceof PeerMessage.StoreProgress progress) {
+            return new NamedKey(PeerMessage.StoreProgress.class, progress.prefix());
         }
         return message.getClass();
     }
 
     private record RangeKey(String service, int range) {}
 
-    private record ServiceKey(Class<? extends PeerMessage> kind, String service) {}
+    private record NamedKey(Class<? extends PeerMessage> kind, String name) {}
 
     /** What became of an offered message. */
     enum Offer {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
@@ -1,8 +1,10 @@
 package org.daisyscale.router.internal.serving;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -37,6 +39,7 @@
     private final Consumer<ServingEvent> servingEvents;
     private final Consumer<KeyEvent> keyEvents;
     private final Ring<Event> peerEvents = new ArrayRing<>("peer-events", RING_CAPACITY);
+    private final List<FollowedWatch> followed = new ArrayList<>();
     private final Map<String, RouterEntry> routerById = new HashMap<>();
     private final Map<String, KeyMap> publishedByService = new HashMap<>();
     private final Set<String> connected = new HashSet<>();
@@ -52,6 +55,18 @@
         this.keyEvents = keyEvents;
     }
 
+    /** {@code watch} hears of the controller's progress. */
+    synchronized void add(FollowedWatch watch) {
+        followed.add(watch);
+    }
+
+    /** The controller tells all routers how far it has read the store; other routers tell nobody. */
+    synchronized void publish(PeerMessage.StoreProgress progress) {
+        if (isController()) {
+            connected.forEach(peer -> network.send(new Action.SendPeer(peer, progress)));
+        }
+    }
+
     /** From now on peers can be spoken to. */
     synchronized void secretKnown(String secret) {
         if (network != null) {
@@ -105,7 +120,7 @@
     }
 
     private boolean isController() {
-        return controller != null && controller.routerId().equals(routerId);
+        return isControlledBy(routerId);
     }
 
     /** Whether the controller tells this router of each change of the key maps. */
@@ -148,18 +163,24 @@
             connected.remove(down.peer());
             EventLog.info("peer-lost", "peer=" + down.peer());
         } else if (event instanceof Event.PeerMessageReceived received) {
-            take(received.message());
+            take(received.from(), received.message());
         }
     }
 
-    private void take(PeerMessage message) {
+    private void take(String from, PeerMessage message) {
         if (message instanceof PeerMessage.KeyLoadReport report) {
             keyEvents.accept(new KeyEvent.LoadReported(report.load()));
         } else if (message instanceof PeerMessage.KeyMapUpdate update) {
             servingEvents.accept(new ServingEvent.KeyMapChanged(update.map()));
+        } else if (message instanceof PeerMessage.StoreProgress progress && isControlledBy(from)) {
+            followed.forEach(watch -> watch.confirm(progress));
         }
     }
 
+    private boolean isControlledBy(String peer) {
+        return controller != null && controller.routerId().equals(peer);
+    }
+
     @Override
     public synchronized void close() {
         if (network != null) {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetWatchDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetWatchDuty.java
@@ -13,16 +13,11 @@
 import org.daisyscale.router.serving.StoreException;
 
 /**
- * Watches the store and tells the listener of its prefix of each item. One watch covers all prefixes; it is short,
- * since a watch whose answer is lost hears nothing and doesn't end. Items that are missing after the store was out of
- * reach are told as removed only after a grace, within which their writers may write them again. One step is for one
- * thread.
+ * Watches one prefix of the store and tells its listener of each item. Items that are missing after the store was out
+ * of reach are told as removed only after a grace, within which their writers may write them again. One step is for
+ * one thread.
  */
 final class FleetWatchDuty {
-    /** The prefix of all items. */
-    private static final String EVERYTHING = "";
-    /** The wait of one watch, in milliseconds: with the time for a lost answer, below the 2 s to follow a change. */
-    private static final long WAIT_MILLIS = 900;
     /** The first and the longest pause after a failed call, in milliseconds. */
     private static final long MIN_PAUSE_MILLIS = 40;
 
@@ -33,12 +28,15 @@
     private static final long RETURN_MILLIS = 2_000;
 
     private final CoordinationStore store;
-    private final Map<String, Listener> listenerByPrefix;
+    private final String prefix;
+    private final WatchGuard guard;
+    private final Listener listener;
     private final long gatherMillis;
     private final Backoff backoff = new Backoff(MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS);
     private final Map<String, Item> known = new HashMap<>();
     private final Map<String, Long> missingSinceNanos = new HashMap<>();
     private long revision;
+    private long lastChangeRevision;
     private boolean isListed;
     private boolean isAway;
     private long awaySinceNanos;
@@ -46,24 +44,28 @@
     private long returnedNanos;
 
     /** Creates the duty; changes that follow one within {@code gatherMillis} come with one call. */
-    FleetWatchDuty(CoordinationStore store, long gatherMillis, Map<String, Listener> listenerByPrefix) {
+    FleetWatchDuty(CoordinationStore store, String prefix, WatchGuard guard, long gatherMillis, Listener listener) {
         this.store = store;
+        this.prefix = prefix;
+        this.guard = guard;
         this.gatherMillis = gatherMillis;
-        this.listenerByPrefix = Map.copyOf(listenerByPrefix);
+        this.listener = listener;
     }
 
     /** Reads or waits once. */
     void runStep() throws InterruptedException {
         try {
             if (isListed) {
-                Optional<Changes> changes = store.watch(EVERYTHING, revision, nextWait());
-                noteBack();
-                changes.ifPresentOrElse(this::apply, this::historyLost);
+                watch();
             } else {
-                list();
+                CoordinationStore.Listing listing = store.list(prefix);
+                noteBack();
+                apply(listing);
             }
             backoff.reset();
-            Thread.sleep(gatherMillis);
+            if (isListed) {
+                Thread.sleep(gatherMillis);
+            }
         } catch (StoreException e) {
             noteAway(e);
             isListed = false;
@@ -72,23 +74,33 @@
         removeMissing();
     }
 
-    private void list() {
-        Map<String, CoordinationStore.Listing> listings = new HashMap<>();
-        listenerByPrefix.keySet().forEach(prefix -> listings.put(prefix, store.list(prefix)));
+    private void watch() {
+        long startNanos = System.nanoTime();
+        Optional<Changes> changes =
+                store.watch(prefix, revision, nextWait(), () -> guard.isOverdue(revision, startNanos));
         noteBack();
-        listings.forEach(this::apply);
-        revision = listings.values().stream()
-                .mapToLong(CoordinationStore.Listing::revision)
-                .min()
-                .orElse(0);
-        isListed = true;
+        if (changes.isEmpty()) {
+            historyLost();
+        } else if (changes.get().changes().isEmpty()) {
+            heardNothing(changes.get().revision());
+        } else {
+            apply(changes.get());
+        }
+    }
+
+    /** A store whose revision rose may have kept a change back, as one whose history is dropped does. */
+    private void heardNothing(long storeRevision) {
+        isListed = storeRevision <= revision;
+        if (isListed) {
+            guard.reached(lastChangeRevision);
+        }
     }
 
     private void noteAway(StoreException failure) {
         if (!isAway) {
             isAway = true;
             awaySinceNanos = System.nanoTime();
-            EventLog.warn("store-lost", "revision=" + revision + " reason=" + failure.detail());
+            EventLog.warn("store-lost", "prefix=" + prefix + " revision=" + revision + " reason=" + failure.detail());
         }
     }
 
@@ -97,33 +109,38 @@
             isAway = false;
             returnedNanos = System.nanoTime();
             wasLongAway = returnedNanos - awaySinceNanos >= LAPSE_MILLIS * 1_000_000L;
-            EventLog.info("store-regained", "revision=" + revision);
+            EventLog.info("store-regained", "prefix=" + prefix + " revision=" + revision);
         }
     }
 
     private Duration nextWait() {
-        return Duration.ofMillis(missingSinceNanos.isEmpty() ? WAIT_MILLIS : RETURN_MILLIS / 4);
+        return missingSinceNanos.isEmpty() ? guard.nextWait() : Duration.ofMillis(RETURN_MILLIS / 4);
     }
 
-    private void apply(String prefix, CoordinationStore.Listing listing) {
+    private void apply(CoordinationStore.Listing listing) {
         Map<String, Item> listed = new HashMap<>();
         listing.items().forEach(item -> listed.put(item.key(), item));
         for (String key : Map.copyOf(known).keySet()) {
-            if (key.startsWith(prefix) && !listed.containsKey(key)) {
+            if (!listed.containsKey(key)) {
+                lastChangeRevision = Math.max(lastChangeRevision, listing.revision());
                 missing(key);
             }
         }
         listed.values().forEach(this::written);
-        listenerByPrefix.get(prefix).listed();
+        revision = listing.revision();
+        isListed = true;
+        guard.reached(lastChangeRevision);
+        listener.listed();
     }
 
     private void historyLost() {
         isListed = false;
-        EventLog.info("store-history-lost", "revision=" + revision);
+        EventLog.info("store-history-lost", "prefix=" + prefix + " revision=" + revision);
     }
 
     private void apply(Changes changes) {
         for (ItemChange change : changes.changes()) {
+            lastChangeRevision = Math.max(lastChangeRevision, change.revision());
             if (change.item().isPresent()) {
                 written(change.item().get());
             } else {
@@ -131,6 +148,7 @@
             }
         }
         revision = Math.max(revision, changes.revision());
+        guard.reached(lastChangeRevision);
     }
 
     private boolean isWithinGrace() {
@@ -139,23 +157,14 @@
 
     private void written(Item item) {
         missingSinceNanos.remove(item.key());
+        lastChangeRevision = Math.max(lastChangeRevision, item.revision());
         Item before = known.get(item.key());
         if (before == null || before.revision() < item.revision()) {
-            listener(item.key()).ifPresent(listener -> {
-                known.put(item.key(), item);
-                listener.written(item);
-            });
+            known.put(item.key(), item);
+            listener.written(item);
         }
     }
 
-    /** The listener of {@code key}; empty for items that nobody asked for. */
-    private Optional<Listener> listener(String key) {
-        return listenerByPrefix.entrySet().stream()
-                .filter(entry -> key.startsWith(entry.getKey()))
-                .map(Map.Entry::getValue)
-                .findFirst();
-    }
-
     private void missing(String key) {
         if (!known.containsKey(key)) {
             return;
@@ -182,7 +191,7 @@
     private void removed(String key) {
         missingSinceNanos.remove(key);
         known.remove(key);
-        listener(key).ifPresent(listener -> listener.removed(key));
+        listener.removed(key);
     }
 
     /** Is told of items, by the thread of the duty. */
@@ -194,7 +203,7 @@
         /** The item is gone. */
         void removed(String key);
 
-        /** All items of the prefix have been told. */
+        /** All items have been told. */
         void listed();
     }
 }
--- /dev/null
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FollowedWatch.java
@@ -0,0 +1,73 @@
+package org.daisyscale.router.internal.serving;
+
+import java.time.Duration;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.daisyscale.core.peer.PeerMessage.StoreProgress;
+
+/**
+ * For items that must be followed within 2 s. A watch whose answer is lost hears nothing and doesn't end, so its
+ * silence proves nothing. While the controller tells how far it has read the store, the watch may be long and is given
+ * up when the controller has seen more. Without such news, as at the controller itself, watches are short. Safe for use
+ * by several threads.
+ */
+final class FollowedWatch implements WatchGuard {
+    /** The wait of a watch that nobody confirms, in milliseconds. */
+    static final long SHORT_WAIT_MILLIS = 900;
+    /** How long a watch may go unconfirmed, in milliseconds: with two reads after it, below 2 s. */
+    static final long SILENCE_MILLIS = 1_200;
+    /** How far a watch may lie behind the controller's, in milliseconds: over the way between two data centres. */
+    static final long LAG_MILLIS = 100;
+
+    private final String prefix;
+    private final Consumer<StoreProgress> publisher;
+    private final LongSupplier clockNanos;
+    private long expectedRevision;
+    private long expectedSinceNanos;
+    private long confirmedNanos;
+    private boolean isEverConfirmed;
+
+    /** Creates the guard of {@code prefix}; {@code publisher} gets what this router's own watch reached. */
+    FollowedWatch(String prefix, Consumer<StoreProgress> publisher, LongSupplier clockNanos) {
+        this.prefix = prefix;
+        this.publisher = publisher;
+        this.clockNanos = clockNanos;
+    }
+
+    /** The controller has just read the store. */
+    synchronized void confirm(StoreProgress progress) {
+        if (!progress.prefix().equals(prefix)) {
+            return;
+        }
+        isEverConfirmed = true;
+        confirmedNanos = clockNanos.getAsLong();
+        if (progress.revision() > expectedRevision) {
+            expectedRevision = progress.revision();
+            expectedSinceNanos = confirmedNanos;
+        }
+    }
+
+    @Override
+    public synchronized Duration nextWait() {
+        return Duration.ofMillis(isConfirmed() ? PatientWatch.WAIT_MILLIS : SHORT_WAIT_MILLIS);
+    }
+
+    private boolean isConfirmed() {
+        return isEverConfirmed && millisSince(confirmedNanos) < SILENCE_MILLIS;
+    }
+
+    private long millisSince(long nanos) {
+        return (clockNanos.getAsLong() - nanos) / 1_000_000L;
+    }
+
+    @Override
+    public synchronized boolean isOverdue(long revision, long startNanos) {
+        boolean isBehind = expectedRevision > revision && millisSince(expectedSinceNanos) >= LAG_MILLIS;
+        return isBehind || (!isConfirmed() && millisSince(startNanos) >= SILENCE_MILLIS);
+    }
+
+    @Override
+    public void reached(long revision) {
+        publisher.accept(new StoreProgress(prefix, revision));
+    }
+}
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -1,6 +1,5 @@
 package org.daisyscale.router.internal.serving;
 
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.daisyscale.core.keys.KeyAction;
@@ -67,10 +66,15 @@
             Directory directory = new Directory(dialect.fleet(), wait(servingEvents), wait(keyEvents), readiness);
             try (DutyThread decisions = DutyThread.start("decisions", servingDuty(loop, controller)::runStep);
                     DutyThread keys = DutyThread.start("keys", keyDuty(loop, controller)::runStep);
-                    DutyThread watch = DutyThread.start(
-                            "watch",
-                            new FleetWatchDuty(store, GATHER_MILLIS, listeners(directory, lease, controller))
-                                    ::runStep);
+                    DutyThread operators =
+                            follow(store, dialect.fleet().operatorPrefix(), controller, directory.operators());
+                    DutyThread servers =
+                            follow(store, dialect.fleet().serverPrefix(), controller, directory.servers());
+                    DutyThread routers = watch(
+                            store,
+                            StoreKeys.PREFIX,
+                            new PatientWatch(),
+                            directory.routers(settings.serving().routerId(), lease, controller));
                     DutyThread leases = DutyThread.start("lease", lease::runStep);
                     DutyThread polls = DutyThread.start(
                             "key-map-polls", new KeyMapPollDuty(store, controller, wait(servingEvents))::runStep);
@@ -113,16 +117,17 @@
         return new KeyDuty(controller, keyEvents, mapWork, link, loop, dialect.backends(), metrics);
     }
 
-    private Map<String, FleetWatchDuty.Listener> listeners(
-            Directory directory, LeaseDuty lease, ControllerLink controller) {
-        String routerId = settings.serving().routerId();
-        return Map.of(
-                dialect.fleet().operatorPrefix(),
-                directory.operators(),
-                dialect.fleet().serverPrefix(),
-                directory.servers(),
-                StoreKeys.PREFIX,
-                directory.routers(routerId, lease, controller));
+    private static DutyThread follow(
+            StoreClient store, String prefix, ControllerLink controller, FleetWatchDuty.Listener listener) {
+        FollowedWatch guard = new FollowedWatch(prefix, controller::publish, System::nanoTime);
+        controller.add(guard);
+        return watch(store, prefix, guard, listener);
+    }
+
+    private static DutyThread watch(
+            StoreClient store, String prefix, WatchGuard guard, FleetWatchDuty.Listener listener) {
+        FleetWatchDuty duty = new FleetWatchDuty(store, prefix, guard, GATHER_MILLIS, listener);
+        return DutyThread.start("watch-" + prefix, duty::runStep);
     }
 
     private void answerReadiness(Context context) {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/StoreClient.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/StoreClient.java
@@ -13,8 +13,10 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.daisyscale.core.platform.CoordinationStore;
 import org.daisyscale.core.platform.WriteOutcome;
+import org.daisyscale.router.internal.log.EventLog;
 import org.daisyscale.router.serving.ServingRouterSettings.Address;
 import org.daisyscale.router.serving.StoreDialect;
 import org.daisyscale.router.serving.StoreException;
@@ -25,11 +27,14 @@
 public final class StoreClient implements CoordinationStore {
     /** The time for an answer that needs no waiting, in milliseconds: over a hundred times the usual. */
     private static final long CALL_MILLIS = 600;
-    /** What a watch may take beyond its wait, in milliseconds: as long as other calls take with a slow store. */
-    private static final long WATCH_MARGIN_MILLIS = 500;
+    /** What a watch may take beyond its wait, in milliseconds. */
+    private static final long WATCH_MARGIN_MILLIS = 1_500;
     /** How much longer than the call the caller waits for its end, in milliseconds. */
     private static final long END_MARGIN_MILLIS = 1_000;
 
+    /** How often a call that waits is looked at, in milliseconds. */
+    private static final long LOOK_MILLIS = 100;
+
     private static final int BUSY = 503;
     private static final int TOO_MANY = 429;
 
@@ -64,9 +69,15 @@
     }
 
     @Override
-    public Optional<Changes> watch(String prefix, long afterRevision, Duration wait) {
-        WireCall call = dialect.watch(prefix, afterRevision, wait);
-        return dialect.readChanges(call(call, wait.toMillis() + WATCH_MARGIN_MILLIS));
+    public Optional<Changes> watch(String prefix, long afterRevision, Duration wait, BooleanSupplier isOverdue) {
+        long timeoutMillis = wait.toMillis() + WATCH_MARGIN_MILLIS;
+        PendingCall pending = start(dialect.watch(prefix, afterRevision, wait), timeoutMillis);
+        Optional<HttpCall.End> end = pending.awaitUnless(isOverdue, timeoutMillis);
+        if (end.isEmpty()) {
+            EventLog.info("store-watch-overdue", "prefix=" + prefix + " revision=" + afterRevision);
+            return Optional.empty();
+        }
+        return dialect.readChanges(answer(prefix, end.get()));
     }
 
     @Override
@@ -95,9 +106,12 @@
     }
 
     private WireReply call(WireCall call, long timeoutMillis) {
-        HttpCall.End end = end(call, timeoutMillis);
+        return answer(call.target(), end(call, timeoutMillis));
+    }
+
+    private static WireReply answer(String target, HttpCall.End end) {
         if (!end.isAnswered()) {
-            String detail = call.target() + ": " + end.failure() + " " + end.detail();
+            String detail = target + ": " + end.failure() + " " + end.detail();
             throw new StoreException(StoreException.Code.UNREACHABLE, detail, null);
         }
         return notTurnedAway(end.reply());
@@ -111,17 +125,16 @@
     }
 
     private HttpCall.End end(WireCall call, long timeoutMillis) {
+        return start(call, timeoutMillis)
+                .awaitUnless(() -> false, timeoutMillis)
+                .orElseThrow();
+    }
+
+    private PendingCall start(WireCall call, long timeoutMillis) {
         BlockingQueue<HttpCall.End> ends = new ArrayBlockingQueue<>(1);
         HttpCall made = new HttpCall(address, request(call, address), timeoutMillis, (sent, got) -> true, ends::add);
         loop.start(made);
-        try {
-            HttpCall.End end = ends.poll(timeoutMillis + END_MARGIN_MILLIS, TimeUnit.MILLISECONDS);
-            return end != null ? end : new HttpCall.End(null, HttpCall.Failure.LOST, "the call never ended");
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            loop.cancel(made);
-            return new HttpCall.End(null, HttpCall.Failure.LOST, "the router stops");
-        }
+        return new PendingCall(made, ends);
     }
 
     /** The HTTP request of {@code call}. */
@@ -140,4 +153,37 @@
         }
         return request;
     }
+
+    /** A call whose end one thread waits for. */
+    private final class PendingCall {
+        private final HttpCall call;
+        private final BlockingQueue<HttpCall.End> ends;
+
+        PendingCall(HttpCall call, BlockingQueue<HttpCall.End> ends) {
+            this.call = call;
+            this.ends = ends;
+        }
+
+        /** The end of the call; empty when {@code isOverdue} held and the call was given up. */
+        Optional<HttpCall.End> awaitUnless(BooleanSupplier isOverdue, long timeoutMillis) {
+            long endNanos = System.nanoTime() + (timeoutMillis + END_MARGIN_MILLIS) * 1_000_000L;
+            try {
+                while (System.nanoTime() - endNanos < 0) {
+                    HttpCall.End end = ends.poll(LOOK_MILLIS, TimeUnit.MILLISECONDS);
+                    if (end != null) {
+                        return Optional.of(end);
+                    }
+                    if (isOverdue.getAsBoolean()) {
+                        loop.cancel(call);
+                        return Optional.empty();
+                    }
+                }
+                return Optional.of(new HttpCall.End(null, HttpCall.Failure.LOST, "the call never ended"));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                loop.cancel(call);
+                return Optional.of(new HttpCall.End(null, HttpCall.Failure.LOST, "the router stops"));
+            }
+        }
+    }
 }
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FleetWatchDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FleetWatchDutyTest.java
@@ -7,8 +7,8 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.daisyscale.core.platform.CoordinationStore;
 import org.daisyscale.router.serving.StoreException;
 import org.junit.jupiter.api.Test;
@@ -16,23 +16,23 @@
 class FleetWatchDutyTest {
     private final ScriptedStore store = new ScriptedStore();
     private final List<String> told = new ArrayList<>();
-    private final FleetWatchDuty.Listener listener = new FleetWatchDuty.Listener() {
-        @Override
-        public void written(CoordinationStore.Item item) {
-            told.add("written " + item.key() + "@" + item.revision());
-        }
-
-        @Override
-        public void removed(String key) {
-            told.add("removed " + key);
-        }
-
-        @Override
-        public void listed() {
-            told.add("listed");
-        }
-    };
-    private final FleetWatchDuty duty = new FleetWatchDuty(store, 0, Map.of("servers/", listener));
+    private final FleetWatchDuty duty =
+            new FleetWatchDuty(store, "servers/", new PatientWatch(), 0, new FleetWatchDuty.Listener() {
+                @Override
+                public void written(CoordinationStore.Item item) {
+                    told.add("written " + item.key() + "@" + item.revision());
+                }
+
+                @Override
+                public void removed(String key) {
+                    told.add("removed " + key);
+                }
+
+                @Override
+                public void listed() {
+                    told.add("listed");
+                }
+            });
 
     private static CoordinationStore.Item item(String key, long revision) {
         return new CoordinationStore.Item(key, new byte[0], revision);
@@ -40,7 +40,7 @@
 
     private static CoordinationStore.Changes removed(String key, long revision) {
         return new CoordinationStore.Changes(
-                List.of(new CoordinationStore.ItemChange(key, Optional.empty())), revision);
+                List.of(new CoordinationStore.ItemChange(key, revision, Optional.empty())), revision);
     }
 
     @Test
@@ -68,15 +68,16 @@
     }
 
     @Test
-    void shouldPassOverItemsThatNobodyAskedFor() throws InterruptedException {
-        store.listings.add(new CoordinationStore.Listing(List.of(), 5));
-        store.watches.add(Optional.of(new CoordinationStore.Changes(
-                List.of(new CoordinationStore.ItemChange("keys/s", Optional.of(item("keys/s", 6)))), 6)));
+    void shouldListAgainWhenTheStoreMovedOnAndTheWatchHeardNothing() throws InterruptedException {
+        store.listings.add(new CoordinationStore.Listing(List.of(item("servers/a", 4)), 5));
+        store.watches.add(Optional.of(new CoordinationStore.Changes(List.of(), 8)));
+        store.listings.add(new CoordinationStore.Listing(List.of(item("servers/a", 7)), 9));
 
+        duty.runStep();
         duty.runStep();
         duty.runStep();
 
-        assertThat(told).containsExactly("listed");
+        assertThat(told).contains("written servers/a@7");
     }
 
     @Test
@@ -129,7 +130,7 @@
         }
 
         @Override
-        public Optional<Changes> watch(String prefix, long afterRevision, Duration wait) {
+        public Optional<Changes> watch(String prefix, long afterRevision, Duration wait, BooleanSupplier isOverdue) {
             return next(watches);
         }
 
