Answer a proposal that lost a race after the newer revision is read, with 409

Cause: a write refused by its condition was answered at once with the revision that this router knew; when that was still the proposal's base, the operator's front took it for an outage and said 503. On a quiet machine the news of the other write came first. Ruled out: a failed call to the service (no platform-call-failed is needed for it; the keeper's test has neither clock nor load). The keeper now answers after the read, or at once when the service can't be reached. Test: ConfigurationKeeperTest, two of three cases failed before.

--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/configuration/ConfigurationKeeper.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/configuration/ConfigurationKeeper.java
@@ -31,6 +31,9 @@
             hasAskedPlatform = true;
             adoptIfNewer(read.configuration(), out);
             settleUnknownProposals(read.configuration(), out);
+            refuseLost("another operator was faster", out);
+        } else if (event instanceof Event.PlatformUnreachable unreachable) {
+            refuseLost("the platform's service can't be reached: " + unreachable.reason(), out);
         } else if (event instanceof Event.PeerMessageReceived received) {
             handleMessage(received, out);
         } else if (event instanceof Event.ConfigurationProposed proposed) {
@@ -81,7 +84,7 @@
                     new Action.AnswerProposal(proposed.requestId(), revision(), false, "another revision is in force"));
             return;
         }
-        proposalsByWriteId.put(proposal.writeId(), new PendingProposal(proposed.requestId(), proposal));
+        proposalsByWriteId.put(proposal.writeId(), new PendingProposal(proposed.requestId(), proposal, false));
         out.emit(new Action.WriteConfiguration(proposal));
     }
 
@@ -94,12 +97,22 @@
             out.emit(new Action.ReadConfiguration());
             return;
         }
-        proposalsByWriteId.remove(ended.writeId());
         if (ended.outcome() == WriteOutcome.ACCEPTED) {
+            proposalsByWriteId.remove(ended.writeId());
             accept(pending, out);
         } else {
+            proposalsByWriteId.put(ended.writeId(), pending.lost());
             out.emit(new Action.ReadConfiguration());
-            refuse(pending, out);
+        }
+    }
+
+    /** A lost proposal is answered after a read, so that its operator is told of the revision that won. */
+    private void refuseLost(String detail, Outbox out) {
+        for (PendingProposal pending : Map.copyOf(proposalsByWriteId).values()) {
+            if (pending.isLost()) {
+                proposalsByWriteId.remove(pending.configuration().writeId());
+                refuse(pending, detail, out);
+            }
         }
     }
 
@@ -120,7 +133,7 @@
         if (isOurs) {
             accept(pending, out);
         } else {
-            refuse(pending, out);
+            refuse(pending, "another operator was faster", out);
         }
     }
 
@@ -130,8 +143,8 @@
                 pending.requestId(), pending.configuration().revision(), true, ""));
     }
 
-    private void refuse(PendingProposal pending, Outbox out) {
-        out.emit(new Action.AnswerProposal(pending.requestId(), revision(), false, "another operator was faster"));
+    private void refuse(PendingProposal pending, String detail, Outbox out) {
+        out.emit(new Action.AnswerProposal(pending.requestId(), revision(), false, detail));
     }
 
     /** The revision in force; 0 before the first. */
@@ -164,5 +177,10 @@
         return current == null ? Set.of() : current.serversDrained();
     }
 
-    private record PendingProposal(String requestId, Configuration configuration) {}
+    private record PendingProposal(String requestId, Configuration configuration, boolean isLost) {
+
+        PendingProposal lost() {
+            return new PendingProposal(requestId, configuration, true);
+        }
+    }
 }
--- /dev/null
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/internal/configuration/ConfigurationKeeperTest.java
@@ -0,0 +1,65 @@
+package org.daisyscale.core.internal.configuration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import org.daisyscale.core.Action;
+import org.daisyscale.core.Event;
+import org.daisyscale.core.Moment;
+import org.daisyscale.core.document.Configuration;
+import org.daisyscale.core.document.EnvironmentDocument;
+import org.daisyscale.core.internal.Outbox;
+import org.daisyscale.core.platform.WriteOutcome;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class ConfigurationKeeperTest {
+    private final ConfigurationKeeper keeper = new ConfigurationKeeper();
+    private final Outbox out = new Outbox("router-1");
+
+    private static Configuration configuration(long revision, String writeId) {
+        EnvironmentDocument document =
+                new EnvironmentDocument(EnvironmentDocument.CURRENT_FORMAT_VERSION, "test", List.of());
+        return new Configuration(revision, writeId, "", document, Set.of(), Set.of(), List.of());
+    }
+
+    @BeforeEach
+    void proposeTheSecondRevision() {
+        handle(new Event.ConfigurationRead(configuration(1, "first")));
+        handle(new Event.ConfigurationProposed("request-1", configuration(2, "ours")));
+    }
+
+    private List<Action> handle(Event event) {
+        keeper.handle(event, new Moment(0, 0), out);
+        return out.drain();
+    }
+
+    @Test
+    void shouldAnswerARefusedProposalWithTheRevisionThatWon() {
+        List<Action> before = handle(new Event.ConfigurationWriteEnded("ours", WriteOutcome.REFUSED));
+
+        List<Action> after = handle(new Event.ConfigurationRead(configuration(2, "theirs")));
+
+        assertThat(before).containsExactly(new Action.ReadConfiguration());
+        assertThat(after).contains(new Action.AnswerProposal("request-1", 2, false, "another operator was faster"));
+    }
+
+    @Test
+    void shouldAnswerARefusedProposalAtOnceWhenTheServiceIsOutOfReach() {
+        handle(new Event.ConfigurationWriteEnded("ours", WriteOutcome.REFUSED));
+
+        List<Action> actions = handle(new Event.PlatformUnreachable("no answer"));
+
+        assertThat(actions)
+                .containsExactly(new Action.AnswerProposal(
+                        "request-1", 1, false, "the platform's service can't be reached: no answer"));
+    }
+
+    @Test
+    void shouldAnswerAnAcceptedProposalWithItsRevision() {
+        List<Action> actions = handle(new Event.ConfigurationWriteEnded("ours", WriteOutcome.ACCEPTED));
+
+        assertThat(actions).contains(new Action.AnswerProposal("request-1", 2, true, ""));
+    }
+}
--- a/daisyscale-testkit/src/test/java/org/daisyscale/testkit/proof/RacingOperatorsTest.java
+++ b/daisyscale-testkit/src/test/java/org/daisyscale/testkit/proof/RacingOperatorsTest.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.CompletableFuture;
 import org.daisyscale.testkit.cluster.RouterNode;
 import org.daisyscale.testkit.http.Json;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.ExtendWith;
 
@@ -17,7 +16,6 @@
 class RacingOperatorsTest {
 
     @Test
-    @Tag("known-red")
     void shouldAcceptOneOfTwoChangesAtTheSameRevision(ProofCluster proof) {
         List<RouterNode> routers = proof.liveRouters();
         JsonNode before = configuration(proof, routers.get(0));
