--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetWatchDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetWatchDuty.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.daisyscale.core.platform.CoordinationStore;
 import org.daisyscale.core.platform.CoordinationStore.Changes;
 import org.daisyscale.core.platform.CoordinationStore.Item;
@@ -34,7 +36,7 @@
     private final long gatherMillis;
     private final Backoff backoff = new Backoff(MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS);
     private final Map<String, Item> known = new HashMap<>();
-    private final Map<String, Long> missingSinceNanos = new HashMap<>();
+    private final Set<String> missingKeys = new HashSet<>();
     private long revision;
     private long lastChangeRevision;
     private boolean isListed;
@@ -114,7 +116,7 @@
     }
 
     private Duration nextWait() {
-        return missingSinceNanos.isEmpty() ? guard.nextWait() : Duration.ofMillis(RETURN_MILLIS / 4);
+        return missingKeys.isEmpty() ? guard.nextWait() : Duration.ofMillis(RETURN_MILLIS / 4);
     }
 
     private void apply(CoordinationStore.Listing listing) {
@@ -123,7 +125,7 @@
         for (String key : Map.copyOf(known).keySet()) {
             if (!listed.containsKey(key)) {
                 lastChangeRevision = Math.max(lastChangeRevision, listing.revision());
-                missing(key);
+                noteMissing(key);
             }
         }
         listed.values().forEach(this::written);
@@ -144,7 +146,7 @@
             if (change.item().isPresent()) {
                 written(change.item().get());
             } else {
-                missing(change.key());
+                noteMissing(change.key());
             }
         }
         revision = Math.max(revision, changes.revision());
@@ -156,7 +158,7 @@
     }
 
     private void written(Item item) {
-        missingSinceNanos.remove(item.key());
+        missingKeys.remove(item.key());
         lastChangeRevision = Math.max(lastChangeRevision, item.revision());
         Item before = known.get(item.key());
         if (before == null || before.revision() < item.revision()) {
@@ -165,31 +167,25 @@
         }
     }
 
-    private void missing(String key) {
+    private void noteMissing(String key) {
         if (!known.containsKey(key)) {
             return;
         }
         if (isWithinGrace()) {
-            missingSinceNanos.putIfAbsent(key, System.nanoTime());
+            missingKeys.add(key);
         } else {
             removed(key);
         }
     }
 
     private void removeMissing() {
-        long nowNanos = System.nanoTime();
-        if (isAway || missingSinceNanos.isEmpty()) {
-            return;
+        if (!isAway && !isWithinGrace()) {
+            Set.copyOf(missingKeys).forEach(this::removed);
         }
-        Map.copyOf(missingSinceNanos).forEach((key, since) -> {
-            if (nowNanos - Math.max(since, returnedNanos) >= RETURN_MILLIS * 1_000_000L) {
-                removed(key);
-            }
-        });
     }
 
     private void removed(String key) {
-        missingSinceNanos.remove(key);
+        missingKeys.remove(key);
         known.remove(key);
         listener.removed(key);
     }
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FleetWatchDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FleetWatchDutyTest.java
@@ -96,10 +96,7 @@
     void shouldGiveItemsThatLapsedInALongOutageTimeToReturn() throws InterruptedException {
         store.listings.add(new CoordinationStore.Listing(List.of(item("servers/a", 4)), 5));
         duty.runStep();
-        long endNanos = System.nanoTime() + 1_200_000_000L;
-        while (System.nanoTime() - endNanos < 0) {
-            duty.runStep();
-        }
+        runStepsFor(1_200);
         store.listings.add(new CoordinationStore.Listing(List.of(), 20));
 
         duty.runStep();
@@ -107,6 +104,32 @@
         assertThat(told).doesNotContain("removed servers/a");
     }
 
+    @Test
+    void shouldTellOfARemovalOnceTheTimeToReturnIsOver() throws InterruptedException {
+        store.listings.add(new CoordinationStore.Listing(List.of(item("servers/a", 4)), 5));
+        duty.runStep();
+        runStepsFor(1_200);
+        store.listings.add(new CoordinationStore.Listing(List.of(item("servers/a", 4)), 20));
+        duty.runStep();
+        Thread.sleep(1_500);
+
+        store.watches.add(Optional.of(removed("servers/a", 21)));
+        duty.runStep();
+        assertThat(told).doesNotContain("removed servers/a");
+        Thread.sleep(600);
+        store.watches.add(Optional.of(new CoordinationStore.Changes(List.of(), 21)));
+        duty.runStep();
+
+        assertThat(told).contains("removed servers/a");
+    }
+
+    private void runStepsFor(long millis) throws InterruptedException {
+        long endNanos = System.nanoTime() + millis * 1_000_000L;
+        while (System.nanoTime() - endNanos < 0) {
+            duty.runStep();
+        }
+    }
+
     /** Answers with what was put in, and is out of reach when there is nothing. */
     private static final class ScriptedStore implements CoordinationStore {
         private final Deque<Listing> listings = new ArrayDeque<>();
