--- a/daisyscale-core/src/test/java/org/daisyscale/core/keys/KeyControllerTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/keys/KeyControllerTest.java
@@ -13,6 +13,7 @@
 import org.daisyscale.core.serving.RoutingTable;
 import org.daisyscale.core.serving.ServiceRules;
 import org.daisyscale.core.serving.ServingEvent;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class KeyControllerTest {
@@ -198,6 +199,22 @@
         assertThat(grants(actions)).isNotEmpty().allMatch(grant -> grant.holdMillis() == HOLD_MAX_MILLIS);
     }
 
+    @Test
+    @Tag("known-red")
+    void shouldGiveTheLongestHoldsWhileAWriteHasNoKnownEnd() {
+        leadWithTwoOwners();
+        drainOwner();
+
+        List<KeyAction> actions = new ArrayList<>(tell(new KeyEvent.MapWriteFailed("stock")));
+        actions.addAll(tell(new KeyEvent.LeaseInDoubt()));
+        actions.addAll(pass(50));
+
+        assertThat(grants(actions))
+                .filteredOn(grant -> grant.firstKey() == 32_768)
+                .isNotEmpty()
+                .allMatch(grant -> grant.holdMillis() == HOLD_MAX_MILLIS);
+    }
+
     @Test
     void shouldReadTheMapOfAServiceWhoseLoadItHeardOfBefore() {
         lead(60_000);
