Refuse keyed requests that would take longer than 1.2 objectives, after 1.5

Cause: while a hot key lasts its owner's queue is as long as admission allows, and what waits longest is late.

--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/OwnerPlacer.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/OwnerPlacer.java
@@ -21,7 +21,7 @@
     private static final long DISOWNED_MILLIS = 100;
 
     /** Only the owner can serve, and a late answer is worth more than none while the queue is short. */
-    private static final double OBJECTIVE_PART = 1.5;
+    private static final double OBJECTIVE_PART = 1.2;
 
     private final FleetView fleet;
 
