Write the end of a move together with what follows it

Change: the end of moves alone waits 300 ms for others; routers hear of it at once as before, only a new controller reads it from the store. KeyControllerTest.shouldWriteTheEndOfAMoveTogetherWithWhatFollows fails with no wait.

--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/MapDraft.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/MapDraft.java
@@ -12,6 +12,7 @@
     private final List<KeyAssignment> assignments;
     private long nextFence;
     private boolean isChanged;
+    private boolean hasMoves;
 
     MapDraft(KeyMap base) {
         this.base = base;
@@ -33,6 +34,11 @@
         return isChanged;
     }
 
+    /** Whether anything but the end of moves is new: a range on its way, or one with another fence. */
+    boolean hasMoves() {
+        return hasMoves;
+    }
+
     /** Marks the move of {@code assignment} as done. */
     void settle(KeyAssignment assignment) {
         replace(assignment, List.of(assignment.settled()));
@@ -49,6 +55,7 @@
             parts.add(assignment.withKeys(lastKey + 1, assignment.lastKey()));
         }
         replace(assignment, parts);
+        hasMoves = true;
     }
 
     /** Makes one range of two neighbours with the same owner, which takes a grant for all of it. */
@@ -58,6 +65,7 @@
         assignments.set(
                 index, first.withKeys(first.firstKey(), second.lastKey()).movedTo(first.owner(), nextFence++));
         isChanged = true;
+        hasMoves = true;
     }
 
     private void replace(KeyAssignment assignment, List<KeyAssignment> parts) {
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServiceKeys.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServiceKeys.java
@@ -18,6 +18,12 @@
     /** How often the balance is looked at, in milliseconds: about when new reports have come from all routers. */
     private static final long BALANCE_MILLIS = 200;
 
+    /**
+     * How long the end of a move may wait for others before it is written, in milliseconds: routers hear of it at once,
+     * and only a new controller reads it from the store.
+     */
+    private static final long SETTLE_MILLIS = 300;
+
     private static final PlanStep SETTLE = new SettleStep();
     private static final PlanStep LOST_OWNER = new LostOwnerStep();
     private static final PlanStep HOT_KEY = new HotKeyStep();
@@ -37,6 +43,7 @@
     private boolean isWriteUnknown;
     private boolean isReadAsked;
     private long balanceDueNanos;
+    private long writtenNanos;
 
     ServiceKeys(String service, ServerRoster roster, OwnerWatch owners, CallNumbers callNumbers) {
         this.service = service;
@@ -62,6 +69,7 @@
         isRead = false;
         isWriteUnknown = false;
         balanceDueNanos = nowNanos;
+        writtenNanos = nowNanos;
     }
 
     /** Whether nobody has asked for the map yet. */
@@ -102,6 +110,7 @@
         if (written == null) {
             plan(nowNanos).ifPresent(next -> {
                 written = next;
+                writtenNanos = nowNanos;
                 actions.add(new KeyAction.WriteMap(next, revision));
             });
         }
@@ -152,7 +161,8 @@
             BALANCE.plan(draft, context);
             MERGE.plan(draft, context);
         }
-        return draft.isChanged() ? Optional.of(draft.toMap()) : Optional.empty();
+        boolean isDue = draft.hasMoves() || nowNanos - writtenNanos >= SETTLE_MILLIS * 1_000_000L;
+        return draft.isChanged() && isDue ? Optional.of(draft.toMap()) : Optional.empty();
     }
 
     /** The servers that may get more keys: warm ones that answer, or all that answer when none is warm. */
--- a/daisyscale-core/src/test/java/org/daisyscale/core/keys/KeyControllerTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/keys/KeyControllerTest.java
@@ -244,4 +244,22 @@
                 .matches(publish -> publish.map().isNewerThan(moved)
                         && publish.map().assignments().get(0).isSettled());
     }
+
+    @Test
+    void shouldWriteTheEndOfAMoveTogetherWithWhatFollows() {
+        leadWithTwoOwners();
+        KeyMap moved = drainOwner();
+        List<KeyAction> actions = tell(new KeyEvent.MapWritten(moved, 31));
+        List<KeyAction> inTime = new ArrayList<>();
+        of(KeyAction.SendRelease.class, actions)
+                .forEach(release -> grants(tell(new KeyEvent.Released(release.callId(), "")))
+                        .forEach(grant -> inTime.addAll(tell(new KeyEvent.GrantTaken(grant.callId())))));
+
+        List<KeyAction> later = pass(300);
+
+        assertThat(of(KeyAction.WriteMap.class, inTime)).isEmpty();
+        assertThat(of(KeyAction.WriteMap.class, later))
+                .singleElement()
+                .matches(write -> write.map().assignments().size() == 1, "the move's end and the merge after it");
+    }
 }
