Read again when a read from before a lost write shows the old revision

A proposal refused by its condition was answered after the next read, and a read that had begun before the write that won shows the old revision; the operator then got 503. The test now prints both answers when it fails. Change: up to three reads may show no newer revision before the answer. Two tests of ConfigurationKeeper fail without.

--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/configuration/ConfigurationKeeper.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/configuration/ConfigurationKeeper.java
@@ -19,6 +19,8 @@
  */
 public final class ConfigurationKeeper implements Part {
     private static final int PROMISE = 10;
+    /** Reads before a lost proposal is answered: the watch's and another change's may be older than the lost write. */
+    private static final int READS_OF_LOST = 3;
 
     private final Map<String, PendingProposal> proposalsByWriteId = new HashMap<>();
     private Configuration current;
@@ -31,7 +33,7 @@
             hasAskedPlatform = true;
             adoptIfNewer(read.configuration(), out);
             settleUnknownProposals(read.configuration(), out);
-            refuseLost("another operator was faster", out);
+            readAgainForLost(out);
         } else if (event instanceof Event.PlatformUnreachable unreachable) {
             refuseLost("the platform's service can't be reached: " + unreachable.reason(), out);
         } else if (event instanceof Event.PeerMessageReceived received) {
@@ -84,7 +86,7 @@
                     new Action.AnswerProposal(proposed.requestId(), revision(), false, "another revision is in force"));
             return;
         }
-        proposalsByWriteId.put(proposal.writeId(), new PendingProposal(proposed.requestId(), proposal, false));
+        proposalsByWriteId.put(proposal.writeId(), PendingProposal.of(proposed.requestId(), proposal));
         out.emit(new Action.WriteConfiguration(proposal));
     }
 
@@ -106,6 +108,23 @@
         }
     }
 
+    /** The read showed no newer revision: it may have begun before the write that won, so another one has to tell. */
+    private void readAgainForLost(Outbox out) {
+        boolean isReadNeeded = false;
+        for (PendingProposal pending : Map.copyOf(proposalsByWriteId).values()) {
+            if (pending.isLost() && pending.readsLeft() > 1) {
+                proposalsByWriteId.put(pending.configuration().writeId(), pending.afterRead());
+                isReadNeeded = true;
+            } else if (pending.isLost()) {
+                proposalsByWriteId.remove(pending.configuration().writeId());
+                refuse(pending, "the platform's service refused it and shows no newer revision", out);
+            }
+        }
+        if (isReadNeeded) {
+            out.emit(new Action.ReadConfiguration());
+        }
+    }
+
     /** A lost proposal is answered after a read, so that its operator is told of the revision that won. */
     private void refuseLost(String detail, Outbox out) {
         for (PendingProposal pending : Map.copyOf(proposalsByWriteId).values()) {
@@ -177,10 +196,19 @@
         return current == null ? Set.of() : current.serversDrained();
     }
 
-    private record PendingProposal(String requestId, Configuration configuration, boolean isLost) {
+    /** A proposal whose write has no known end, or that lost and waits for {@code readsLeft} reads at most. */
+    private record PendingProposal(String requestId, Configuration configuration, boolean isLost, int readsLeft) {
+
+        static PendingProposal of(String requestId, Configuration configuration) {
+            return new PendingProposal(requestId, configuration, false, READS_OF_LOST);
+        }
 
         PendingProposal lost() {
-            return new PendingProposal(requestId, configuration, true);
+            return new PendingProposal(requestId, configuration, true, readsLeft);
+        }
+
+        PendingProposal afterRead() {
+            return new PendingProposal(requestId, configuration, isLost, readsLeft - 1);
         }
     }
 }
--- a/daisyscale-core/src/test/java/org/daisyscale/core/internal/configuration/ConfigurationKeeperTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/internal/configuration/ConfigurationKeeperTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import org.daisyscale.core.Action;
@@ -45,6 +46,31 @@
         assertThat(after).contains(new Action.AnswerProposal("request-1", 2, false, "another operator was faster"));
     }
 
+    @Test
+    void shouldReadAgainWhenAReadFromBeforeTheRefusalShowsTheOldRevision() {
+        handle(new Event.ConfigurationWriteEnded("ours", WriteOutcome.REFUSED));
+
+        List<Action> afterOld = handle(new Event.ConfigurationRead(configuration(1, "first")));
+        List<Action> afterNew = handle(new Event.ConfigurationRead(configuration(2, "theirs")));
+
+        assertThat(afterOld).containsExactly(new Action.ReadConfiguration());
+        assertThat(afterNew).contains(new Action.AnswerProposal("request-1", 2, false, "another operator was faster"));
+    }
+
+    @Test
+    void shouldAnswerARefusedProposalWhenNoReadShowsAnotherRevision() {
+        handle(new Event.ConfigurationWriteEnded("ours", WriteOutcome.REFUSED));
+
+        List<Action> actions = new ArrayList<>();
+        for (int read = 0; read < 3; read++) {
+            actions.addAll(handle(new Event.ConfigurationRead(configuration(1, "first"))));
+        }
+
+        assertThat(actions)
+                .contains(new Action.AnswerProposal(
+                        "request-1", 1, false, "the platform's service refused it and shows no newer revision"));
+    }
+
     @Test
     void shouldAnswerARefusedProposalAtOnceWhenTheServiceIsOutOfReach() {
         handle(new Event.ConfigurationWriteEnded("ours", WriteOutcome.REFUSED));
--- a/daisyscale-testkit/src/test/java/org/daisyscale/testkit/proof/RacingOperatorsTest.java
+++ b/daisyscale-testkit/src/test/java/org/daisyscale/testkit/proof/RacingOperatorsTest.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -28,7 +29,10 @@
                 CompletableFuture.supplyAsync(() -> change(proof, routers.get(1), revision, text + "# second\n"));
 
         List<HttpResponse<byte[]>> answers = List.of(first.join(), second.join());
-        assertThat(answers).extracting(HttpResponse::statusCode).containsExactlyInAnyOrder(200, 409);
+        assertThat(answers)
+                .as(() -> "answers " + bodies(answers))
+                .extracting(HttpResponse::statusCode)
+                .containsExactlyInAnyOrder(200, 409);
         HttpResponse<byte[]> accepted = answers.stream()
                 .filter(answer -> answer.statusCode() == 200)
                 .findFirst()
@@ -53,6 +57,12 @@
                         .endsWith(won));
     }
 
+    private static List<String> bodies(List<HttpResponse<byte[]>> answers) {
+        return answers.stream()
+                .map(answer -> new String(answer.body(), StandardCharsets.UTF_8))
+                .toList();
+    }
+
     private static JsonNode configuration(ProofCluster proof, RouterNode router) {
         return proof.get(router.operatorUrl() + "/operator/configuration")
                 .map(answer -> Json.tree(answer.body()))
