Begin a server's service time with what is usual

In the logs plans of 12 moves follow a joined server's first reports: a few quick answers made it look fast, it got too much, and then the next one did. Change: a server's mean begins with the mean of all and counts as eight reports. LoadBookTest fails without.

--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LoadBook.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LoadBook.java
@@ -17,6 +17,8 @@
     private static final double FADE_MILLIS = 2_000;
     /** The weight of one report in the mean of a server's service time: about the last thirty answers count. */
     private static final double SAMPLE_WEIGHT = 0.03;
+    /** What is usual counts like this many reports of a server: about a second of them, from several routers. */
+    private static final int USUAL_REPORTS = 8;
     /**
      * How far keys lean to fast servers while servers are idle: an answer's time is then all work, and little waiting.
      * At full load servers share by what they can bear.
@@ -39,7 +41,7 @@
         load.keys().stream().filter(key -> 0 <= key && key < KeyMap.KEY_COUNT).forEach(key -> countByKey[key]++);
         load.serviceMillisByServer()
                 .forEach((server, millis) -> serviceMillisByServer
-                        .computeIfAbsent(server, id -> new MeanMillis())
+                        .computeIfAbsent(server, id -> new MeanMillis(meanServiceMillis()))
                         .add(millis));
     }
 
@@ -132,10 +134,14 @@
                 .orElse(FIRST_SERVICE_MILLIS);
     }
 
-    /** A running mean that counts its first samples fully. */
+    /** A running mean that begins with what is usual, so that a few quick answers don't make a server look fast. */
     private static final class MeanMillis {
         private double millis;
-        private int count;
+        private int count = USUAL_REPORTS;
+
+        private MeanMillis(double usualMillis) {
+            millis = usualMillis;
+        }
 
         private void add(double sample) {
             count++;
