--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/BalanceStep.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/BalanceStep.java
@@ -8,7 +8,7 @@
 import org.daisyscale.core.serving.KeyAssignment.Owner;
 
 /**
- * Takes keys from the server with the largest share of its capacity in use and gives them to that with the smallest.
+ * Takes keys from the servers with the largest share of their capacity in use and gives them to that with the smallest.
  * Answers hot keys, uneven servers and joined ones. Of all ranges with about the right load the one with the fewest
  * keys moves, so that a hot spot moves alone and little of the key space changes hands. Stateless.
  */
@@ -38,6 +38,7 @@
         }
     }
 
+    /** Moves a part of the fullest server that has one to move to the emptiest; whether it did. */
     private static boolean moveOne(MapDraft draft, ServerLoads loads, PlanContext context) {
         Optional<Owner> to = loads.least();
         return to.isPresent()
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/HotKeyStep.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/HotKeyStep.java
@@ -1,7 +1,6 @@
 package org.daisyscale.core.internal.keys;
 
 import java.util.Comparator;
-import java.util.List;
 import java.util.Optional;
 import org.daisyscale.core.serving.KeyAssignment;
 import org.daisyscale.core.serving.KeyAssignment.Owner;
@@ -30,26 +29,25 @@
     }
 
     private static void planFor(KeyAssignment assignment, MapDraft draft, ServerLoads loads, PlanContext context) {
+        Owner owner = assignment.owner();
         int key = context.load().hottest(assignment);
         double rate = context.load().rate(key);
-        double capacity = loads.bearable(assignment.owner());
-        boolean isHot = rate * context.load().windowSeconds() >= HOT_REQUESTS && rate > capacity * HOT_PART;
-        if (capacity == 0 || !isHot) {
+        boolean isChance = rate * context.load().windowSeconds() < HOT_REQUESTS;
+        if (isChance || !loads.isKnown(owner) || rate < loads.bearable(owner) * HOT_PART) {
             return;
         }
-        fastest(loads, rate, capacity).ifPresent(owner -> {
-            draft.move(assignment, key, key, owner);
-            loads.add(assignment.owner(), -rate);
-            loads.add(owner, rate);
+        faster(loads, owner).ifPresent(next -> {
+            draft.move(assignment, key, key, next);
+            loads.add(owner, -rate);
+            loads.add(next, rate);
         });
     }
 
-    /** The fastest server that isn't hot itself, if it is well faster than {@code capacity}. */
-    private static Optional<Owner> fastest(ServerLoads loads, double rate, double capacity) {
-        List<Owner> owners = loads.mostFirst();
-        return owners.stream()
-                .filter(owner -> loads.bearable(owner) > capacity * FASTER_FACTOR)
-                .filter(owner -> loads.share(owner) <= 1 || rate > loads.bearable(owner))
+    /** The fastest server that isn't overloaded itself, if it is well faster than {@code owner}'s. */
+    private static Optional<Owner> faster(ServerLoads loads, Owner owner) {
+        double wanted = loads.bearable(owner) * FASTER_FACTOR;
+        return loads.mostFirst().stream()
+                .filter(other -> loads.bearable(other) > wanted && loads.share(other) <= 1)
                 .max(Comparator.comparingDouble(loads::bearable));
     }
 }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServerLoads.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServerLoads.java
@@ -41,13 +41,19 @@
         return rateByOwner.get(owner) / capacity(owner);
     }
 
+    /** The requests a second that {@code owner} should get; for all owners together what the servers can bear. */
     double capacity(Owner owner) {
         return weightByOwner.get(owner);
     }
 
-    /** The requests a second that {@code owner}'s server can bear; 0 for a server that may not get keys. */
+    /** Whether {@code owner}'s server is one of those that may get keys. */
+    boolean isKnown(Owner owner) {
+        return bearableByOwner.containsKey(owner);
+    }
+
+    /** The requests a second that {@code owner}'s server can bear. */
     double bearable(Owner owner) {
-        return bearableByOwner.getOrDefault(owner, 0.0);
+        return bearableByOwner.get(owner);
     }
 
     /** The share that every server would have if all had the same. */
