Proofs: a settled cluster's routers reach the platform's service

The test comes right after the outage's; a router that hasn't reached the service again since refuses a change at once, as it should. Ruled out: a wrong answer of the write itself (nothing was written). The test's premise was wrong: two routers that both can decide. The cluster now counts as settled only when each router's status says that the service answers; what the test asks for is as before. PlatformOutageTest, then RacingOperatorsTest: pass.

--- a/daisyscale-testkit/src/test/java/org/daisyscale/testkit/proof/ProofCluster.java
+++ b/daisyscale-testkit/src/test/java/org/daisyscale/testkit/proof/ProofCluster.java
@@ -110,6 +110,7 @@
                 .filter(peer -> peer.path("isHeard").asBoolean())
                 .count();
         return status.path("isReady").asBoolean()
+                && status.path("isPlatformReachable").asBoolean()
                 && isMapSettled
                 && heardCount >= liveRouters().size() - 1;
     }
