--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/ColdGate.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/ColdGate.java
@@ -32,6 +32,16 @@
         return isCold;
     }
 
+    /** How much longer the server is cold, in milliseconds; 0 when it is warm. */
+    long coldLeftMillis(long nowNanos) {
+        return isCold(nowNanos) ? (coldUntilNanos - nowNanos) / 1_000_000L : 0;
+    }
+
+    /** The requests that were sent to the cold server within the window. */
+    int sentCount(long nowNanos) {
+        return sent.count(nowNanos);
+    }
+
     void noteSent(long nowNanos) {
         if (isCold) {
             sent.add(nowNanos);
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestDesk.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestDesk.java
@@ -134,11 +134,28 @@
             end(request, refusal.get());
             return;
         }
+        if (view.coldGate().isCold(nowNanos)) {
+            reportColdSend(request, view, nowNanos);
+        }
         request.sendTo(view, nowNanos);
         actions.add(new ServingAction.SendAttempt(
                 request.requestId(), request.attemptCount(), view.server(), request.timeLeftMillis(nowNanos)));
     }
 
+    private void reportColdSend(OpenRequest request, ServerView view, long nowNanos) {
+        String detail = "requestId=%s server=%s address=%s:%d sentBefore=%d share=%d routers=%d coldLeftMillis=%d"
+                .formatted(
+                        request.head().logId(),
+                        view.server().id(),
+                        view.server().host(),
+                        view.server().port(),
+                        view.coldGate().sentCount(nowNanos),
+                        fleet.coldShare(view),
+                        fleet.routerCount(),
+                        view.coldGate().coldLeftMillis(nowNanos));
+        actions.add(new ServingAction.Report("cold-server-request", detail));
+    }
+
     private void waitOrRefuse(OpenRequest request, Placement.Wait wait, long nowNanos) {
         long againMillis = Math.max(1, (wait.againNanos() - nowNanos) / 1_000_000L);
         double patienceMillis = request.route().targetLatencyMillis() * PATIENCE_PART;
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/Directory.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/Directory.java
@@ -135,6 +135,7 @@
             }
 
             private void tellRouters() {
+                EventLog.info("routers-seen", "count=" + routerIds.size() + " routers=" + routerIds);
                 servingEvents.accept(new ServingEvent.RoutersChanged(routerIds));
             }
 
