--- /dev/null
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/ColdServerShareTest.java
@@ -0,0 +1,127 @@
+package org.daisyscale.core.serving;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/** Guards against cold servers that get more requests than they bear, summed over all routers. */
+@Tag("known-red")
+class ColdServerShareTest {
+    private static final long MILLI = 1_000_000L;
+    private static final int ROUTER_COUNT = 12;
+    private static final Set<String> ALL =
+            IntStream.range(0, ROUTER_COUNT).mapToObj(index -> "r" + index).collect(Collectors.toSet());
+    private static final double BOUND = 7 * 1.5 + 5;
+
+    private final Map<String, RequestRouter> routerById =
+            ALL.stream().collect(Collectors.toMap(id -> id, ColdServerShareTest::router));
+    private long nowNanos = 1;
+    private long nextRequestId;
+
+    private static RequestRouter router(String id) {
+        return RequestRouter.create(new ServingSettings(id, "dc1", 1, 1.5, 5, 0.2, 60, 10_000, 2_000, 5_000));
+    }
+
+    private void tell(String routerId, ServingEvent event) {
+        routerById.get(routerId).handle(event, nowNanos);
+    }
+
+    private void tellAll(ServingEvent event) {
+        ALL.forEach(id -> tell(id, event));
+    }
+
+    private void useTable() {
+        Route route =
+                new Route("pay", "h", "/", false, 800, 400, 1, 2, List.of(new Route.WeightedService("pooled", 1)));
+        ServiceRules rules = new ServiceRules("pooled", 120, 3_000, 7, false, 0);
+        tellAll(new ServingEvent.TableChanged(new RoutingTable(
+                1, List.of(route), Map.of("pooled", rules), new RequestLimits(16_384, 1 << 20, 3_000, 15_000))));
+    }
+
+    private void register(long coldMillis) {
+        tellAll(new ServingEvent.ServerChanged(
+                new BackendServer("s1", 7, "pooled", "10.0.0.1", 80, "dc1", 3, false, coldMillis)));
+    }
+
+    /** The requests that reach the server when each of {@code routerIds} gets twenty. */
+    private long sentBy(Set<String> routerIds) {
+        return routerIds.stream().mapToLong(this::sentByOne).sum();
+    }
+
+    private long sentByOne(String routerId) {
+        return IntStream.range(0, 20).filter(index -> isSentBy(routerId)).count();
+    }
+
+    /** Whether the router sends one more request, which is answered at once. */
+    private boolean isSentBy(String routerId) {
+        RequestHead head = new RequestHead("h", "/x", 1_500, RequestHead.NO_KEY, 0, "id");
+        long requestId = ++nextRequestId;
+        boolean isSent =
+                routerById.get(routerId).handle(new ServingEvent.RequestArrived(requestId, head), nowNanos).stream()
+                        .anyMatch(ServingAction.SendAttempt.class::isInstance);
+        tell(routerId, new ServingEvent.AttemptEnded(requestId, 1, AttemptOutcome.ANSWERED, Optional.empty()));
+        return isSent;
+    }
+
+    @Test
+    void shouldSendNothingToAColdServerBeforeOtherRoutersCountThisOne() {
+        useTable();
+        register(3_000);
+
+        assertThat(sentBy(ALL)).isLessThanOrEqualTo((long) BOUND);
+    }
+
+    @Test
+    void shouldCountRoutersThatLeftWhileTheirLastRequestsCount() {
+        useTable();
+        tellAll(new ServingEvent.RoutersChanged(ALL));
+        register(8_000);
+        nowNanos += 3_000 * MILLI;
+
+        long before = sentBy(ALL);
+        tellAll(new ServingEvent.RoutersChanged(Set.of("r0", "r1")));
+        nowNanos += 500 * MILLI;
+        long after = sentBy(Set.of("r0", "r1"));
+
+        assertThat(before + after).isLessThanOrEqualTo((long) BOUND);
+    }
+
+    @Test
+    void shouldCountRequestsThatWereSentBeforeTheServerWasKnownToBeCold() {
+        useTable();
+        tellAll(new ServingEvent.RoutersChanged(ALL));
+        register(0);
+        nowNanos += 3_000 * MILLI;
+
+        long before = sentBy(ALL);
+        register(3_000);
+        long after = sentBy(ALL);
+
+        assertThat(before).isPositive();
+        assertThat(after).isZero();
+    }
+
+    @Test
+    void shouldRememberRequestsToAColdServerWhoseRegistrationCameBack() {
+        useTable();
+        tellAll(new ServingEvent.RoutersChanged(ALL));
+        register(8_000);
+        nowNanos += 3_000 * MILLI;
+
+        long before = sentBy(ALL);
+        tellAll(new ServingEvent.ServerRemoved("s1"));
+        nowNanos += 100 * MILLI;
+        register(4_900);
+        long after = sentBy(ALL);
+
+        assertThat(before).isPositive();
+        assertThat(before + after).isLessThanOrEqualTo((long) BOUND);
+    }
+}
--- /dev/null
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/LeaseDutyTest.java
@@ -0,0 +1,46 @@
+package org.daisyscale.router.internal.serving;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.daisyscale.core.keys.KeyEvent;
+import org.daisyscale.router.serving.ServingRouterSettings.Address;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+@Tag("known-red")
+class LeaseDutyTest {
+    private final LeasedStore store = new LeasedStore();
+    private final List<KeyEvent> keyEvents = new ArrayList<>();
+    private final LeaseDuty duty = new LeaseDuty(store, "r1", new Address("10.0.0.1", 7_620), keyEvents::add);
+
+    private void step(int count) throws InterruptedException {
+        for (int index = 0; index < count; index++) {
+            duty.runStep();
+        }
+    }
+
+    @Test
+    void shouldStayRegisteredWhileARouterThatStopsStillServes() throws InterruptedException {
+        step(1);
+
+        duty.stop();
+        step(2);
+
+        assertThat(store.get(StoreKeys.router("r1"))).isPresent();
+    }
+
+    @Test
+    void shouldGiveUpControlAsSoonAsTheStopIsAskedFor() throws InterruptedException {
+        duty.seen(false, false);
+        step(1);
+        assertThat(store.get(StoreKeys.CONTROLLER)).isPresent();
+
+        duty.stop();
+        step(2);
+
+        assertThat(store.get(StoreKeys.CONTROLLER)).isEmpty();
+        assertThat(keyEvents).last().isInstanceOf(KeyEvent.LeaseLost.class);
+    }
+}
--- /dev/null
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/LeasedStore.java
@@ -0,0 +1,66 @@
+package org.daisyscale.router.internal.serving;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import org.daisyscale.core.platform.CoordinationStore;
+import org.daisyscale.core.platform.WriteOutcome;
+
+/** A store in memory whose leases end only when they are ended. Used by one thread. */
+final class LeasedStore implements CoordinationStore {
+    private final Map<String, Item> items = new HashMap<>();
+    private final Map<String, Long> leaseByKey = new HashMap<>();
+    private final Set<Long> leases = new HashSet<>();
+    private long revision;
+    private long lastLease;
+
+    @Override
+    public Optional<Item> get(String key) {
+        return Optional.ofNullable(items.get(key));
+    }
+
+    @Override
+    public Listing list(String prefix) {
+        return new Listing(List.copyOf(items.values()), revision);
+    }
+
+    @Override
+    public Optional<Changes> watch(String prefix, long afterRevision, Duration wait, BooleanSupplier isOverdue) {
+        return Optional.empty();
+    }
+
+    @Override
+    public WriteEnd write(Change change) {
+        long found = get(change.key()).map(Item::revision).orElse(0L);
+        if (found != change.expectedRevision()) {
+            return new WriteEnd(WriteOutcome.REFUSED, 0);
+        }
+        items.put(change.key(), new Item(change.key(), change.value(), ++revision));
+        leaseByKey.put(change.key(), change.leaseId());
+        return new WriteEnd(WriteOutcome.ACCEPTED, revision);
+    }
+
+    @Override
+    public long grantLease(Duration timeToLive) {
+        leases.add(++lastLease);
+        return lastLease;
+    }
+
+    @Override
+    public boolean renewLease(long leaseId) {
+        return leases.contains(leaseId);
+    }
+
+    @Override
+    public void endLease(long leaseId) {
+        leases.remove(leaseId);
+        leaseByKey.entrySet().stream()
+                .filter(entry -> entry.getValue() == leaseId)
+                .forEach(entry -> items.remove(entry.getKey()));
+    }
+}
