Take a registration with odd figures for no server, and follow the others

Report of other operators: one odd entry among those of the servers ended or stopped the machines that read the list. Could it happen here? An item that its listener can't take made the watch read the same change again and again without a pause (FleetWatchDutyTest, red before).

--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/Directory.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/Directory.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 import org.daisyscale.core.keys.KeyEvent;
 import org.daisyscale.core.platform.CoordinationStore.Item;
+import org.daisyscale.core.serving.BackendServer;
 import org.daisyscale.core.serving.ServingEvent;
 import org.daisyscale.router.internal.json.Json;
 import org.daisyscale.router.internal.log.EventLog;
@@ -46,10 +47,12 @@
         return new FleetWatchDuty.Listener() {
             @Override
             public void written(Item item) {
-                decoder.server(item).ifPresent(server -> {
-                    EventLog.info("server-seen", server + " revision=" + item.revision());
-                    tellBoth(new ServingEvent.ServerChanged(server));
-                });
+                decoder.server(item).ifPresentOrElse(server -> seen(server, item), () -> removed(item.key()));
+            }
+
+            private void seen(BackendServer server, Item item) {
+                EventLog.info("server-seen", server + " revision=" + item.revision());
+                tellBoth(new ServingEvent.ServerChanged(server));
             }
 
             @Override
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetWatchDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetWatchDuty.java
@@ -163,7 +163,16 @@
         Item before = known.get(item.key());
         if (before == null || before.revision() < item.revision()) {
             known.put(item.key(), item);
+            tellWritten(item);
+        }
+    }
+
+    /** An item that its listener can't take must not keep the others from being followed. */
+    private void tellWritten(Item item) {
+        try {
             listener.written(item);
+        } catch (RuntimeException e) {
+            EventLog.warn("item-not-taken", "key=" + item.key() + " revision=" + item.revision(), e);
         }
     }
 
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FleetWatchDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FleetWatchDutyTest.java
@@ -24,6 +24,9 @@
             new FleetWatchDuty.Listener() {
                 @Override
                 public void written(CoordinationStore.Item item) {
+                    if (item.key().equals("servers/odd")) {
+                        throw new IllegalStateException("an item that can't be taken");
+                    }
                     told.add("written " + item.key() + "@" + item.revision());
                 }
 
@@ -58,6 +61,17 @@
         assertThat(told).containsExactly("written servers/a@4", "listed", "removed servers/a");
     }
 
+    @Test
+    void shouldFollowTheOtherItemsWhenOneCannotBeTaken() throws InterruptedException {
+        store.listings.add(new CoordinationStore.Listing(List.of(item("servers/odd", 4), item("servers/a", 5)), 5));
+        store.watches.add(Optional.of(removed("servers/a", 6)));
+
+        duty.runStep();
+        duty.runStep();
+
+        assertThat(told).containsExactly("written servers/a@5", "listed", "removed servers/a");
+    }
+
     @Test
     void shouldListAgainWhenTheHistoryIsGone() throws InterruptedException {
         store.listings.add(new CoordinationStore.Listing(List.of(item("servers/a", 4)), 5));
