Bound all answers of servers together, and close connections on which bytes come unasked

Report: bytes that are no answer may come without end, in a head or a body. Could it happen here? One call is bounded (64 KB of head, 16 MB of body, and its time), but nothing bounded all of them: ten such bodies at once filled the heap. And a connection on which the begin of a head came while no call waited was kept and poisoned the next call.

Change: the bytes of all answers that are held count against one budget, over which the answer is spoiled and its connection closed; bytes without a call close the connection at once.

--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/AttemptCalls.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/AttemptCalls.java
@@ -39,7 +39,7 @@
                 address,
                 request(exchange, server, action.timeLeftMillis()),
                 action.timeLeftMillis() + TIMEOUT_MARGIN_MILLIS,
-                dialect::isAnswerTo,
+                dialect::match,
                 end -> ended(exchange, action.attempt(), end));
         exchange.attempt(server.id(), call);
         loop.start(call);
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ConnectionPool.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ConnectionPool.java
@@ -8,6 +8,7 @@
 import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import org.daisyscale.router.internal.request.ByteBudget;
 import org.daisyscale.router.serving.ServingRouterSettings.Address;
 
 /**
@@ -21,15 +22,21 @@
 
     private final Bootstrap bootstrap;
     private final Address address;
+    private final ByteBudget answerBytes;
     private final Deque<HttpConnection> idle = new ArrayDeque<>();
     private int openCount;
 
-    ConnectionPool(Bootstrap bootstrap, Address address) {
+    ConnectionPool(Bootstrap bootstrap, Address address, ByteBudget answerBytes) {
         this.bootstrap = bootstrap.clone();
         this.address = address;
+        this.answerBytes = answerBytes;
     }
 
     void send(HttpCall call) {
+        if (call.isNewConnectionNeeded()) {
+            connect(call);
+            return;
+        }
         HttpConnection connection = idle.pollFirst();
         while (connection != null && !connection.isUsable()) {
             connection.close();
@@ -44,13 +51,14 @@
 
     private void connect(HttpCall call) {
         openCount++;
-        HttpConnection connection = new HttpConnection(this);
+        HttpConnection connection = new HttpConnection(this, answerBytes);
         ChannelFuture connected = bootstrap
                 .clone()
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
+                                .addLast(new UnaskedBytesHandler(connection))
                                 .addLast(new HttpClientCodec(
                                         MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, false, false))
                                 .addLast(connection);
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/Exchange.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/Exchange.java
@@ -1,6 +1,8 @@
 package org.daisyscale.router.internal.serving;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
@@ -23,6 +25,7 @@
     private final Consumer<Outcome> onOutcome;
     private final AtomicBoolean isOver = new AtomicBoolean();
     private final AtomicReference<HttpCall> call = new AtomicReference<>();
+    private final Set<String> triedServers = ConcurrentHashMap.newKeySet();
     private volatile WireReply reply;
     private volatile String serverId = "";
 
@@ -79,9 +82,15 @@
     /** An attempt goes to {@code newServerId}. */
     void attempt(String newServerId, HttpCall newCall) {
         serverId = newServerId;
+        triedServers.add(newServerId);
         call.set(newCall);
     }
 
+    /** Whether an attempt went to the server before; its answer may come once more. */
+    boolean wasSentTo(String server) {
+        return triedServers.contains(server);
+    }
+
     HttpCall call() {
         return call.get();
     }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpCall.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpCall.java
@@ -3,8 +3,9 @@
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.util.function.BiPredicate;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
+import org.daisyscale.router.serving.AnswerMatch;
 import org.daisyscale.router.serving.ServingRouterSettings.Address;
 import org.daisyscale.router.serving.WireReply;
 
@@ -13,11 +14,12 @@
     private final Address address;
     private final FullHttpRequest request;
     private final long timeoutMillis;
-    private final BiPredicate<HttpHeaders, HttpHeaders> isAnswerTo;
+    private final BiFunction<HttpHeaders, HttpHeaders, AnswerMatch> matcher;
     private final Consumer<End> onEnd;
     private Channel channel;
     private boolean isOver;
     private boolean wasWritten;
+    private boolean needsNewConnection;
 
     /**
      * Creates a call.
@@ -25,19 +27,19 @@
      * @param address where it goes
      * @param request what is sent; released with the call
      * @param timeoutMillis the time for a whole answer, in milliseconds
-     * @param isAnswerTo whether an answer, by its headers, is to a request with the first headers
+     * @param matcher which request an answer names, from the headers of the request and of the answer
      * @param onEnd gets the end, on the event loop's thread
      */
     public HttpCall(
             Address address,
             FullHttpRequest request,
             long timeoutMillis,
-            BiPredicate<HttpHeaders, HttpHeaders> isAnswerTo,
+            BiFunction<HttpHeaders, HttpHeaders, AnswerMatch> matcher,
             Consumer<End> onEnd) {
         this.address = address;
         this.request = request;
         this.timeoutMillis = timeoutMillis;
-        this.isAnswerTo = isAnswerTo;
+        this.matcher = matcher;
         this.onEnd = onEnd;
     }
 
@@ -53,8 +55,17 @@
         return timeoutMillis;
     }
 
-    boolean isAnsweredBy(HttpHeaders answerHeaders) {
-        return isAnswerTo.test(request.headers(), answerHeaders);
+    AnswerMatch match(HttpHeaders answerHeaders) {
+        return matcher.apply(request.headers(), answerHeaders);
+    }
+
+    /** The call goes out on a connection of its own, on which no answer to an earlier one can come once more. */
+    void needsNewConnection() {
+        needsNewConnection = true;
+    }
+
+    boolean isNewConnectionNeeded() {
+        return needsNewConnection;
     }
 
     boolean isOver() {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
@@ -13,14 +13,18 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.daisyscale.router.internal.request.ByteBudget;
+import org.daisyscale.router.serving.AnswerMatch;
 import org.daisyscale.router.serving.WireReply;
 
 /**
- * One kept connection with one call at a time. An answer to another call is passed over; a connection on which anything
- * else went wrong, or whose request hasn't left whole when the answer comes, is closed and never used again. Used by
- * the thread of its event loop.
+ * One kept connection with one call at a time. An answer to another call is passed over. A connection is closed and
+ * never used again when bytes come while no call waits,
+ * when an answer is too large, when the request hasn't left whole as its answer comes, and when anything else went
+ * wrong. Used by the thread of its event loop.
  */
 final class HttpConnection extends SimpleChannelInboundHandler<HttpObject> {
     /** How long a connection is kept when the other side says nothing, in milliseconds: below the usual limits. */
@@ -33,18 +37,21 @@
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
 
     private final ConnectionPool pool;
+    private final ByteBudget answerBytes;
     private ChannelHandlerContext context;
     private HttpCall call;
     private HttpResponse head;
     private ByteArrayOutputStream body;
     private boolean isPassingOver;
+    private ByteBudget.Reservation reservation;
     private boolean isRequestWritten;
     private boolean isBroken;
     private long keepMillis = DEFAULT_KEEP_MILLIS;
     private long idleSinceNanos;
 
-    HttpConnection(ConnectionPool pool) {
+    HttpConnection(ConnectionPool pool, ByteBudget answerBytes) {
         this.pool = pool;
+        this.answerBytes = answerBytes;
     }
 
     @Override
@@ -99,14 +106,25 @@
             fail(HttpCall.Failure.SPOILED, "an answer without a call");
             return;
         }
-        isPassingOver = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
-                || !call.isAnsweredBy(response.headers());
+        AnswerMatch match = call.match(response.headers());
+        isPassingOver =
+                response.status().codeClass() == HttpStatusClass.INFORMATIONAL || match == AnswerMatch.ANOTHER_REQUEST;
         if (!isPassingOver) {
             head = response;
             body = new ByteArrayOutputStream();
         }
     }
 
+    /** Whether bytes that come now belong to no call. */
+    boolean isIdle() {
+        return call == null;
+    }
+
+    /** Bytes came while no call waits. */
+    void closeUnasked() {
+        fail(HttpCall.Failure.SPOILED, "bytes without a call");
+    }
+
     private void take(HttpContent content) {
         if (isBroken || call == null) {
             return;
@@ -124,18 +142,37 @@
     }
 
     private void keep(HttpContent content) {
+        int bytes = content.content().readableBytes();
+        if (body.size() + bytes > MAX_ANSWER_BYTES || !reserve(bytes)) {
+            String detail = "the answer has over %d bytes, or all answers together over %d"
+                    .formatted(MAX_ANSWER_BYTES, answerBytes.limitBytes());
+            fail(HttpCall.Failure.SPOILED, detail);
+            return;
+        }
         try {
-            content.content()
-                    .getBytes(
-                            content.content().readerIndex(),
-                            body,
-                            content.content().readableBytes());
+            content.content().getBytes(content.content().readerIndex(), body, bytes);
         } catch (IOException e) {
             fail(HttpCall.Failure.SPOILED, String.valueOf(e));
         }
-        if (body.size() > MAX_ANSWER_BYTES) {
-            fail(HttpCall.Failure.SPOILED, "the answer is over " + MAX_ANSWER_BYTES + " bytes");
+    }
+
+    private boolean reserve(int bytes) {
+        Optional<ByteBudget.Reservation> more = answerBytes.tryReserve(bytes);
+        if (more.isPresent() && reservation == null) {
+            reservation = more.get();
+        } else if (more.isPresent()) {
+            more.get().close();
+            reservation.grow(bytes);
+        }
+        return more.isPresent();
+    }
+
+    private void giveBytesBack() {
+        if (reservation != null) {
+            reservation.close();
+            reservation = null;
         }
+        body = null;
     }
 
     private void finish() {
@@ -152,7 +189,9 @@
         } else {
             close();
         }
-        finished.end(new WireReply(answer.status().code(), answer.headers(), body.toByteArray()));
+        byte[] bytes = body.toByteArray();
+        giveBytesBack();
+        finished.end(new WireReply(answer.status().code(), answer.headers(), bytes));
     }
 
     private static long keepMillis(HttpResponse answer) {
@@ -166,6 +205,7 @@
         HttpCall failed = call;
         call = null;
         close();
+        giveBytesBack();
         if (failed == null) {
             pool.forget(this);
         } else {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpLoop.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpLoop.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import jdk.net.ExtendedSocketOptions;
+import org.daisyscale.router.internal.request.ByteBudget;
 import org.daisyscale.router.serving.ServingRouterSettings.Address;
 
 /**
@@ -30,11 +31,15 @@
     /** How often idle connections are looked through, in milliseconds. */
     private static final long SWEEP_MILLIS = 1_000;
 
+    /** Answers that are held at once, in bytes: a seventh of the heap, as they are copied once when they are whole. */
+    private static final long ANSWER_BUDGET_BYTES = 24L << 20;
+
     private static final long CLOSE_TIMEOUT_MILLIS = 500;
 
     private final NioEventLoopGroup group;
     private final EventLoop loop;
     private final Bootstrap bootstrap;
+    private final ByteBudget answerBytes = new ByteBudget(ANSWER_BUDGET_BYTES);
     private final Map<Address, ConnectionPool> poolByAddress = new HashMap<>();
 
     private HttpLoop(String threadName) {
@@ -75,7 +80,7 @@
     private void startOnLoop(HttpCall call) {
         loop.schedule(() -> call.timeOut(), call.timeoutMillis(), TimeUnit.MILLISECONDS);
         poolByAddress
-                .computeIfAbsent(call.address(), address -> new ConnectionPool(bootstrap, address))
+                .computeIfAbsent(call.address(), address -> new ConnectionPool(bootstrap, address, answerBytes))
                 .send(call);
     }
 
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/KeyDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/KeyDuty.java
@@ -115,7 +115,7 @@
 
     private void start(Owner owner, WireCall call, long millis, Consumer<HttpCall.End> onEnd) {
         Address address = new Address(owner.host(), owner.port());
-        loop.start(new HttpCall(address, StoreClient.request(call, address), millis, (sent, got) -> true, onEnd));
+        loop.start(new HttpCall(address, StoreClient.request(call, address), millis, dialect::match, onEnd));
     }
 
     private static boolean wasSent(HttpCall.End end) {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/StoreClient.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/StoreClient.java
@@ -17,6 +17,7 @@
 import org.daisyscale.core.platform.CoordinationStore;
 import org.daisyscale.core.platform.WriteOutcome;
 import org.daisyscale.router.internal.log.EventLog;
+import org.daisyscale.router.serving.AnswerMatch;
 import org.daisyscale.router.serving.ServingRouterSettings.Address;
 import org.daisyscale.router.serving.StoreDialect;
 import org.daisyscale.router.serving.StoreException;
@@ -132,7 +133,8 @@
 
     private PendingCall start(WireCall call, long timeoutMillis) {
         BlockingQueue<HttpCall.End> ends = new ArrayBlockingQueue<>(1);
-        HttpCall made = new HttpCall(address, request(call, address), timeoutMillis, (sent, got) -> true, ends::add);
+        HttpCall made = new HttpCall(
+                address, request(call, address), timeoutMillis, (sent, got) -> AnswerMatch.THIS_REQUEST, ends::add);
         loop.start(made);
         return new PendingCall(made, ends);
     }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/serving/BackendDialect.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/serving/BackendDialect.java
@@ -12,8 +12,8 @@
     /** Adds to the headers of a request what {@code server} must know; it may work {@code timeLeftMillis}. */
     void addRequestHeaders(HttpHeaders headers, BackendServer server, long timeLeftMillis);
 
-    /** Whether an answer with {@code answerHeaders} is to the request with {@code requestHeaders}. */
-    boolean isAnswerTo(HttpHeaders requestHeaders, HttpHeaders answerHeaders);
+    /** Which request an answer with {@code answerHeaders} names where one with {@code requestHeaders} waits. */
+    AnswerMatch match(HttpHeaders requestHeaders, HttpHeaders answerHeaders);
 
     /** What the whole answer to a request means. */
     AttemptOutcome outcome(WireReply reply);
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/HttpLoopTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/HttpLoopTest.java
@@ -5,6 +5,7 @@
 
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
@@ -12,15 +13,20 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.daisyscale.router.internal.serving.HttpCall.End;
 import org.daisyscale.router.internal.serving.HttpCall.Failure;
+import org.daisyscale.router.serving.AnswerMatch;
 import org.daisyscale.router.serving.ServingRouterSettings.Address;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class HttpLoopTest {
     private static final String OK = "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok";
@@ -41,12 +47,34 @@
 
     private BlockingQueue<End> call(String id, long timeoutMillis) {
         BlockingQueue<End> ends = new ArrayBlockingQueue<>(1);
+        loop.start(newCall(id, timeoutMillis, ends));
+        return ends;
+    }
+
+    private HttpCall newCall(String id, long timeoutMillis, BlockingQueue<End> ends) {
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
         request.headers().set("Id", id);
         Address address = new Address("127.0.0.1", listener.getLocalPort());
-        loop.start(new HttpCall(
-                address, request, timeoutMillis, (sent, got) -> sent.get("Id").equals(got.get("Id")), ends::add));
-        return ends;
+        return new HttpCall(address, request, timeoutMillis, HttpLoopTest::match, ends::add);
+    }
+
+    private static AnswerMatch match(HttpHeaders sent, HttpHeaders got) {
+        if (got.get("Id") == null) {
+            return AnswerMatch.UNNAMED;
+        }
+        return got.get("Id").equals(sent.get("Id")) ? AnswerMatch.THIS_REQUEST : AnswerMatch.ANOTHER_REQUEST;
+    }
+
+    /** Writes {@code text} again and again until the other side closes, for 10 s at most. */
+    private static void writeWithoutEnd(Socket socket, String text) {
+        byte[] bytes = text.repeat(1_000).getBytes(StandardCharsets.US_ASCII);
+        long endNanos = System.nanoTime() + 10_000_000_000L;
+        assertThatThrownBy(() -> {
+                    while (System.nanoTime() < endNanos) {
+                        socket.getOutputStream().write(bytes);
+                    }
+                })
+                .isInstanceOf(IOException.class);
     }
 
     private static End end(BlockingQueue<End> ends) throws InterruptedException {
@@ -150,4 +178,98 @@
 
         assertThat(end(call("a", 2_000)).failure()).isEqualTo(Failure.CONNECTION_REFUSED);
     }
+
+    @Test
+    void shouldCloseAKeptConnectionOnWhichBytesComeWithoutEnd() throws Exception {
+        BlockingQueue<End> first = call("a", 2_000);
+        try (Socket socket = listener.accept()) {
+            readRequest(socket);
+            write(socket, OK.formatted("a"));
+            assertThat(end(first).isAnswered()).isTrue();
+
+            writeWithoutEnd(socket, "\r\n");
+        }
+    }
+
+    @Test
+    void shouldNotReuseAConnectionOnWhichTheBeginOfAnotherAnswerCame() throws Exception {
+        BlockingQueue<End> first = call("a", 2_000);
+        try (Socket socket = listener.accept()) {
+            readRequest(socket);
+            write(socket, OK.formatted("a"));
+            assertThat(end(first).isAnswered()).isTrue();
+            write(socket, "HTTP/1.1 503 Full\r\nId: a\r\n");
+            Thread.sleep(200);
+
+            BlockingQueue<End> second = call("b", 2_000);
+            listener.setSoTimeout(2_000);
+            try (Socket other = listener.accept()) {
+                readRequest(other);
+                write(other, OK.formatted("b"));
+
+                assertThat(end(second).isAnswered()).isTrue();
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nId: a\r\n",
+                "HTTP/1.1 200 OK\r\nId: a\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 999999999999\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n",
+                "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+                "",
+            })
+    void shouldEndACallAtOnceWhoseAnswerHasNoEnd(String begin) throws Exception {
+        BlockingQueue<End> ends = call("a", 8_000);
+        try (Socket socket = listener.accept()) {
+            readRequest(socket);
+            write(socket, begin);
+            writeWithoutEnd(socket, "0123456789abcdef");
+
+            assertThat(end(ends).failure()).isEqualTo(Failure.SPOILED);
+        }
+    }
+
+    @Test
+    void shouldHoldNoMoreThanTheBudgetOfAllAnswersTogether() throws Exception {
+        List<BlockingQueue<End>> ends = new ArrayList<>();
+        List<Socket> sockets = new ArrayList<>();
+        byte[] part = new byte[12 << 20];
+        for (int index = 0; index < 4; index++) {
+            ends.add(call("a", 8_000));
+            Socket socket = listener.accept();
+            sockets.add(socket);
+            readRequest(socket);
+            write(socket, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 16000000\r\n\r\n");
+        }
+
+        List<Thread> writers = new ArrayList<>();
+        for (Socket socket : sockets) {
+            Thread writer = new Thread(() -> {
+                try {
+                    socket.getOutputStream().write(part);
+                } catch (IOException e) {
+                    assertThat(e).isNotNull();
+                }
+            });
+            writer.start();
+            writers.add(writer);
+        }
+        for (Thread writer : writers) {
+            writer.join(5_000);
+        }
+
+        long spoiled = 0;
+        for (BlockingQueue<End> queue : ends) {
+            End end = queue.poll(300, TimeUnit.MILLISECONDS);
+            spoiled += end != null && end.failure() == Failure.SPOILED ? 1 : 0;
+        }
+        assertThat(spoiled).isBetween(2L, 3L);
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
 }
