Take no refusal for a request's own that may be an earlier one written again

Report: a faulty server wrote an earlier refusal once more on a kept connection; callers were told 'not run' for requests that a server had run, or such a request ran at a second server. Could it happen here? A refusal that names no request was taken for the answer to whatever call waited. And a request that is repeated at the same server, as after a refusal for a range on its way, used the same connection under the same id, so that the refusal once more passed for the second one's.

Change: an unnamed answer counts only as the first on its connection, and is spoiled after an earlier one; a repeat at the same server goes out on a new connection.

--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/AttemptCalls.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/AttemptCalls.java
@@ -41,6 +41,9 @@
                 action.timeLeftMillis() + TIMEOUT_MARGIN_MILLIS,
                 dialect::match,
                 end -> ended(exchange, action.attempt(), end));
+        if (exchange.wasSentTo(server.id())) {
+            call.needsNewConnection();
+        }
         exchange.attempt(server.id(), call);
         loop.start(call);
     }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
@@ -22,7 +22,7 @@
 
 /**
  * One kept connection with one call at a time. An answer to another call is passed over. A connection is closed and
- * never used again when bytes come while no call waits,
+ * never used again when bytes come while no call waits, when an unnamed answer comes after an earlier one,
  * when an answer is too large, when the request hasn't left whole as its answer comes, and when anything else went
  * wrong. Used by the thread of its event loop.
  */
@@ -43,6 +43,7 @@
     private HttpResponse head;
     private ByteArrayOutputStream body;
     private boolean isPassingOver;
+    private boolean hadAnswer;
     private ByteBudget.Reservation reservation;
     private boolean isRequestWritten;
     private boolean isBroken;
@@ -109,10 +110,13 @@
         AnswerMatch match = call.match(response.headers());
         isPassingOver =
                 response.status().codeClass() == HttpStatusClass.INFORMATIONAL || match == AnswerMatch.ANOTHER_REQUEST;
-        if (!isPassingOver) {
+        if (!isPassingOver && match == AnswerMatch.UNNAMED && hadAnswer) {
+            fail(HttpCall.Failure.SPOILED, "an answer that names no request may be an earlier one again");
+        } else if (!isPassingOver) {
             head = response;
             body = new ByteArrayOutputStream();
         }
+        hadAnswer = true;
     }
 
     /** Whether bytes that come now belong to no call. */
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/HttpLoopTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/HttpLoopTest.java
@@ -179,6 +179,45 @@
         assertThat(end(call("a", 2_000)).failure()).isEqualTo(Failure.CONNECTION_REFUSED);
     }
 
+    @Test
+    void shouldNotTakeARefusalThatWasWrittenOnceMoreForTheAnswerToALaterCall() throws Exception {
+        String refusal = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+        BlockingQueue<End> first = call("a", 2_000);
+        try (Socket socket = listener.accept()) {
+            readRequest(socket);
+            write(socket, refusal);
+            assertThat(end(first).isAnswered()).isTrue();
+
+            BlockingQueue<End> second = call("b", 2_000);
+            readRequest(socket);
+            write(socket, refusal);
+
+            assertThat(end(second).failure()).isEqualTo(Failure.SPOILED);
+        }
+    }
+
+    @Test
+    void shouldMakeACallThatNeedsItOnANewConnection() throws Exception {
+        BlockingQueue<End> first = call("a", 2_000);
+        try (Socket socket = listener.accept()) {
+            readRequest(socket);
+            write(socket, OK.formatted("a"));
+            assertThat(end(first).isAnswered()).isTrue();
+
+            BlockingQueue<End> second = new ArrayBlockingQueue<>(1);
+            HttpCall again = newCall("a", 2_000, second);
+            again.needsNewConnection();
+            loop.start(again);
+            try (Socket other = listener.accept()) {
+                write(socket, OK.formatted("a"));
+                readRequest(other);
+                write(other, "HTTP/1.1 201 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n");
+
+                assertThat(end(second).reply().status()).isEqualTo(201);
+            }
+        }
+    }
+
     @Test
     void shouldCloseAKeptConnectionOnWhichBytesComeWithoutEnd() throws Exception {
         BlockingQueue<End> first = call("a", 2_000);
--- /dev/null
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/NamedAnswersDialect.java
@@ -0,0 +1,66 @@
+package org.daisyscale.router.internal.serving;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
+import org.daisyscale.core.serving.AttemptOutcome;
+import org.daisyscale.core.serving.BackendServer;
+import org.daisyscale.core.serving.LoadReport;
+import org.daisyscale.router.serving.AnswerMatch;
+import org.daisyscale.router.serving.BackendDialect;
+import org.daisyscale.router.serving.WireCall;
+import org.daisyscale.router.serving.WireReply;
+
+/** Names requests and answers in the header {@code Id}. Stateless. */
+final class NamedAnswersDialect implements BackendDialect {
+    private static final int MISDIRECTED = 421;
+
+    @Override
+    public void addRequestHeaders(HttpHeaders headers, BackendServer server, long timeLeftMillis) {
+        headers.set("Left", timeLeftMillis);
+    }
+
+    @Override
+    public AnswerMatch match(HttpHeaders requestHeaders, HttpHeaders answerHeaders) {
+        if (answerHeaders.get("Id") == null) {
+            return AnswerMatch.UNNAMED;
+        }
+        return answerHeaders.get("Id").equals(requestHeaders.get("Id"))
+                ? AnswerMatch.THIS_REQUEST
+                : AnswerMatch.ANOTHER_REQUEST;
+    }
+
+    @Override
+    public AttemptOutcome outcome(WireReply reply) {
+        return reply.status() == MISDIRECTED ? AttemptOutcome.REFUSED_NOT_OWNER : AttemptOutcome.ANSWERED;
+    }
+
+    @Override
+    public Optional<LoadReport> load(HttpHeaders answerHeaders) {
+        return Optional.empty();
+    }
+
+    @Override
+    public WireCall grant(int firstKey, int lastKey, long fence, long holdMillis, String handover) {
+        return new WireCall("POST", "/grant", new byte[0]);
+    }
+
+    @Override
+    public WireCall release(int firstKey, int lastKey, long fence) {
+        return new WireCall("POST", "/release", new byte[0]);
+    }
+
+    @Override
+    public String handover(HttpHeaders answerHeaders) {
+        return "";
+    }
+
+    @Override
+    public boolean isFromAnotherProcess(WireReply reply) {
+        return false;
+    }
+
+    @Override
+    public boolean isFenceTooLow(WireReply reply) {
+        return false;
+    }
+}
