Give no fence to two processes: renew only where the process is proved

Cause: grants go by address, and a renewal repeats the fence. Whether the process that took the fence still has the address was nobody's concern: the controller learns of another one from its registration, up to 3 s later and later still while the store is away. Class: an order meant for one incarnation, addressed by what outlives it.

Change: a renewal goes out on the very connection on which its fence was taken (PinnedConnection), for a process that ends takes its connections with it; if that is gone, it isn't sent, and the range gets a fence that was never given. So that this needs no write each time, each written map sets 10,000 fences aside for the controller that wrote it (FenceBlock); a new controller writes once before it grants. An incarnation that comes to its predecessor's address is asked to release what was meant for that one. Also, the late answer to a request is no longer taken for that of a grant: grants have a connection of their own.

KeyControllerTest: shouldNotWaitForAnIncarnationThatWasReplaced asked for a grant at once when another incarnation has the same address. That was wrong, as it may hold what was granted by address; two cases replace it: at another address nobody waits, at the same one a release comes first. The others now begin with the write that sets fences aside.

--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LeasedKeyController.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LeasedKeyController.java
@@ -78,7 +78,7 @@
         if (event instanceof KeyEvent.MapRead read) {
             keys(read.map().service()).read(read.map(), read.revision());
         } else if (event instanceof KeyEvent.MapWritten written) {
-            keys(written.map().service()).read(written.map(), written.revision());
+            keys(written.map().service()).written(written.map(), written.revision());
         } else if (event instanceof KeyEvent.MapAbsent absent) {
             keys(absent.service()).absent();
         } else if (event instanceof KeyEvent.MapWriteFailed failed) {
@@ -99,6 +99,8 @@
             all.forEach(keys -> keys.calls().granted(taken.callId()));
         } else if (event instanceof KeyEvent.GrantRefused refused) {
             all.forEach(keys -> keys.calls().refused(refused.callId()));
+        } else if (event instanceof KeyEvent.ServerUnproved unproved) {
+            all.forEach(keys -> keys.calls().unproved(unproved.callId(), nowNanos));
         } else if (event instanceof KeyEvent.CallUnanswered unanswered) {
             all.forEach(keys -> keys.calls().unanswered(unanswered.callId(), unanswered.wasSent(), nowNanos));
         } else if (event instanceof KeyEvent.OwnerGone gone) {
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/MapDraft.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/MapDraft.java
@@ -34,7 +34,7 @@
         return isChanged;
     }
 
-    /** Whether anything but the end of moves is new: a range on its way, or one with another fence. */
+    /** Whether anything but the end of moves is new: a range on its way, one with another fence, or more fences. */
     boolean hasMoves() {
         return hasMoves;
     }
@@ -68,6 +68,12 @@
         hasMoves = true;
     }
 
+    /** The map is written for its fences, if for nothing else. */
+    void setFencesAside() {
+        isChanged = true;
+        hasMoves = true;
+    }
+
     private void replace(KeyAssignment assignment, List<KeyAssignment> parts) {
         int index = assignments.indexOf(assignment);
         assignments.remove(index);
@@ -76,7 +82,7 @@
     }
 
     KeyMap toMap() {
-        return new KeyMap(base.service(), base.version() + 1, 0, nextFence, assignments);
+        return new KeyMap(base.service(), base.version() + 1, 0, nextFence + FenceBlock.SIZE, assignments);
     }
 
     /** The map that is stored, with the ranges settled that took their grants since. */
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/RangeCalls.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/RangeCalls.java
@@ -11,24 +11,28 @@
 
 /**
  * The grants and releases of one service's ranges: which are under way, which were answered, which are due. A range on
- * its way is granted only when each predecessor released it or can hold it no longer. Owned by the thread that owns the
- * core.
+ * its way is granted only when each predecessor released it or can hold it no longer. A grant's fence is new unless the
+ * call can only reach the process that took the grant with this fence before. Owned by the thread that owns the core.
  */
 final class RangeCalls {
     /** A grant is renewed after this part of its hold, so that two renewals may be lost. */
     private static final double RENEW_PART = 0.28;
     /** A call that failed is repeated after this, in milliseconds: a lost packet was sent again by then. */
     private static final long REPEAT_MILLIS = 300;
+    /** Fences begin at 1. */
+    private static final long NO_FENCE = 0;
 
     private final OwnerWatch owners;
     private final ServerRoster roster;
+    private final FenceBlock fences;
     private final CallNumbers callNumbers;
     private final Map<KeyAssignment, RangeState> stateByRange = new HashMap<>();
     private final Map<Long, Call> callById = new HashMap<>();
 
-    RangeCalls(OwnerWatch owners, ServerRoster roster, CallNumbers callNumbers) {
+    RangeCalls(OwnerWatch owners, ServerRoster roster, FenceBlock fences, CallNumbers callNumbers) {
         this.owners = owners;
         this.roster = roster;
+        this.fences = fences;
         this.callNumbers = callNumbers;
     }
 
@@ -82,7 +86,8 @@
         for (Owner predecessor : assignment.predecessors()) {
             isFree &= state.isGranted || free(assignment, predecessor, state, actions, nowNanos);
         }
-        if (isFree && nowNanos - state.grantDueNanos >= 0 && roster.mayOwn(assignment.owner())) {
+        boolean hasFence = state.fence != NO_FENCE || !fences.isEmpty();
+        if (isFree && hasFence && nowNanos - state.grantDueNanos >= 0 && roster.mayOwn(assignment.owner())) {
             grant(assignment, holdMillis, state, actions, nowNanos);
         }
     }
@@ -110,6 +115,8 @@
     private void grant(
             KeyAssignment assignment, long holdMillis, RangeState state, List<KeyAction> actions, long nowNanos) {
         long before = owners.noteGrant(assignment.owner(), holdMillis, nowNanos);
+        boolean isRenewal = state.fence != NO_FENCE;
+        state.fence = isRenewal ? state.fence : fences.take();
         state.grantCallId = callNumbers.next();
         state.grantDueNanos = nowNanos + (long) (holdMillis * RENEW_PART * 1e6);
         callById.put(state.grantCallId, new Call(assignment, assignment.owner(), true, before));
@@ -124,7 +131,8 @@
                 assignment.owner(),
                 assignment.firstKey(),
                 assignment.lastKey(),
-                assignment.fence(),
+                state.fence,
+                isRenewal,
                 holdMillis,
                 handover));
     }
@@ -155,9 +163,21 @@
             if (call.isGrant() && !wasSent) {
                 owners.undoGrant(call.owner(), call.heldBeforeNanos());
             }
-            stateOf(call, callId)
-                    .filter(state -> call.isGrant())
-                    .ifPresent(state -> state.grantDueNanos = nowNanos + REPEAT_MILLIS * 1_000_000L);
+            stateOf(call, callId).filter(state -> call.isGrant()).ifPresent(state -> {
+                state.fence = NO_FENCE;
+                state.grantDueNanos = nowNanos + REPEAT_MILLIS * 1_000_000L;
+            });
+        });
+    }
+
+    /** A renewal was not sent, since another process may have the server's address; it needs a new fence. */
+    void unproved(long callId, long nowNanos) {
+        ended(callId).ifPresent(call -> {
+            owners.undoGrant(call.owner(), call.heldBeforeNanos());
+            stateOf(call, callId).ifPresent(state -> {
+                state.fence = NO_FENCE;
+                state.grantDueNanos = nowNanos;
+            });
         });
     }
 
@@ -197,6 +217,7 @@
     private static final class RangeState {
         private final Map<Owner, String> handoverByReleased = new HashMap<>();
         private final Map<Owner, Long> releaseDueNanos = new HashMap<>();
+        private long fence = NO_FENCE;
         private long grantCallId;
         private long grantDueNanos = Long.MIN_VALUE / 2;
         private boolean isGranted;
@@ -210,6 +231,7 @@
         /** The state of a part of the range, whose own grant follows soon. */
         private RangeState forPart() {
             RangeState part = new RangeState();
+            part.fence = fence;
             part.isGranted = isGranted;
             part.grantDueNanos = grantDueNanos;
             return part;
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServerRoster.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServerRoster.java
@@ -98,9 +98,14 @@
         return server != null && owner.isIncarnation(server) && isUsable(server);
     }
 
-    /** Whether another incarnation took the place of {@code owner}: then the owner is gone for certain. */
+    /**
+     * Whether another incarnation took the place of {@code owner} elsewhere: then the owner is gone for certain. One at
+     * the same address may have taken grants that were meant for the owner, and has to release them.
+     */
     boolean isReplaced(Owner owner) {
         BackendServer server = serverById.get(owner.serverId());
-        return server != null && server.bornEpochMillis() > owner.bornEpochMillis();
+        return server != null
+                && server.bornEpochMillis() > owner.bornEpochMillis()
+                && !(server.host().equals(owner.host()) && server.port() == owner.port());
     }
 }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServiceKeys.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServiceKeys.java
@@ -34,6 +34,7 @@
     private final ServerRoster roster;
     private final OwnerWatch owners;
     private final RangeCalls calls;
+    private final FenceBlock fences = new FenceBlock();
     private final LoadBook load = new LoadBook();
     private KeyMap map;
     private KeyMap written;
@@ -49,7 +50,7 @@
         this.service = service;
         this.roster = roster;
         this.owners = owners;
-        this.calls = new RangeCalls(owners, roster, callNumbers);
+        this.calls = new RangeCalls(owners, roster, fences, callNumbers);
     }
 
     RangeCalls calls() {
@@ -63,6 +64,7 @@
     /** Forgets what belongs to an earlier time of control; the map has to be read again. */
     void restart(long nowNanos) {
         calls.clear();
+        fences.clear();
         written = null;
         published = null;
         isReadAsked = true;
@@ -77,7 +79,21 @@
         return !isReadAsked;
     }
 
+    /** The map was read; the fences that a newer one sets aside are another controller's. */
     void read(KeyMap found, long foundRevision) {
+        if (foundRevision > revision) {
+            fences.clear();
+        }
+        adopt(found, foundRevision);
+    }
+
+    /** This controller's own write was accepted. */
+    void written(KeyMap accepted, long acceptedRevision) {
+        fences.written(accepted.nextFence());
+        adopt(accepted, acceptedRevision);
+    }
+
+    private void adopt(KeyMap found, long foundRevision) {
         settle();
         if (foundRevision >= revision) {
             map = found;
@@ -152,6 +168,9 @@
         }
         PlanContext context = new PlanContext(usable, warm(usable, nowNanos), load, roster, owners, calls, nowNanos);
         MapDraft draft = new MapDraft(map);
+        if (fences.isLow()) {
+            draft.setFencesAside();
+        }
         SETTLE.plan(draft, context);
         LOST_OWNER.plan(draft, context);
         if (nowNanos - balanceDueNanos >= 0) {
@@ -185,6 +204,6 @@
             assignments.add(KeyAssignment.first(first, next - 1, owner, index + 1));
             first = next;
         }
-        return new KeyMap(service, 1, 0, servers.size() + 1, assignments);
+        return new KeyMap(service, 1, 0, servers.size() + 1 + FenceBlock.SIZE, assignments);
     }
 }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/keys/KeyAction.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/keys/KeyAction.java
@@ -14,10 +14,19 @@
      * @param firstKey the first key
      * @param lastKey the last key, inclusive
      * @param fence the fencing token
+     * @param isRenewal whether the call must reach the process that took this fence before, or not be made
      * @param holdMillis how long the grant lasts, in milliseconds
      * @param handover what the predecessor gave at its release; empty for nothing
      */
-    record SendGrant(long callId, Owner owner, int firstKey, int lastKey, long fence, long holdMillis, String handover)
+    record SendGrant(
+            long callId,
+            Owner owner,
+            int firstKey,
+            int lastKey,
+            long fence,
+            boolean isRenewal,
+            long holdMillis,
+            String handover)
             implements KeyAction {}
 
     /**
--- a/daisyscale-core/src/main/java/org/daisyscale/core/keys/KeyEvent.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/keys/KeyEvent.java
@@ -39,6 +39,9 @@
     /** The server refused the grant of the call, since it knows a higher fence. */
     record GrantRefused(long callId) implements KeyEvent {}
 
+    /** The renewal was not sent: that the process that took the fence would get it could not be made sure of. */
+    record ServerUnproved(long callId) implements KeyEvent {}
+
     /** The call has no answer; with {@code wasSent} the server may have got it. */
     record CallUnanswered(long callId, boolean wasSent) implements KeyEvent {}
 
--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/KeyAssignment.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/KeyAssignment.java
@@ -9,7 +9,7 @@
  * @param firstKey the first key
  * @param lastKey the last key, inclusive
  * @param owner the server that owns the range, or will own it
- * @param fence the fencing token of the owner's grant
+ * @param fence tells this assignment from others of the same keys; the grants of the owner have fences above it
  * @param isSettled whether the owner has its grant, so that requests may be sent to it
  * @param predecessors the servers that may still hold a range that is on its way
  */
--- a/daisyscale-core/src/test/java/org/daisyscale/core/keys/KeyControllerTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/keys/KeyControllerTest.java
@@ -68,10 +68,12 @@
         KeyAssignment second = new KeyAssignment(32_768, KeyMap.KEY_COUNT - 1, owner("k2"), 4, true, List.of());
         KeyMap map = new KeyMap("stock", 3, 0, 5, List.of(first, second));
         List<KeyAction> actions = tell(new KeyEvent.MapRead(map, 30));
-        actions = new ArrayList<>(actions);
+        assertThat(grants(actions)).isEmpty();
+        KeyMap withFences = of(KeyAction.WriteMap.class, actions).get(0).map();
+        actions = new ArrayList<>(tell(new KeyEvent.MapWritten(withFences, 31)));
         actions.addAll(pass(50));
         grants(actions).forEach(grant -> tell(new KeyEvent.GrantTaken(grant.callId())));
-        return map;
+        return withFences;
     }
 
     private static List<KeyAction.SendGrant> grants(List<KeyAction> actions) {
@@ -114,7 +116,7 @@
         leadWithTwoOwners();
         KeyMap moved = drainOwner();
 
-        List<KeyAction> afterWrite = tell(new KeyEvent.MapWritten(moved, 31));
+        List<KeyAction> afterWrite = tell(new KeyEvent.MapWritten(moved, 32));
         List<KeyAction.SendRelease> releases = of(KeyAction.SendRelease.class, afterWrite);
 
         assertThat(releases).isNotEmpty().allMatch(release -> release.owner().equals(owner("k1")));
@@ -149,7 +151,7 @@
         leadWithTwoOwners();
         long grantedNanos = nowNanos;
         KeyMap moved = drainOwner();
-        List<KeyAction> actions = new ArrayList<>(tell(new KeyEvent.MapWritten(moved, 31)));
+        List<KeyAction> actions = new ArrayList<>(tell(new KeyEvent.MapWritten(moved, 32)));
 
         long grantNanos = 0;
         while (grantNanos == 0 && nowNanos - grantedNanos < 30_000 * MILLI) {
@@ -164,16 +166,84 @@
     }
 
     @Test
-    void shouldNotWaitForAnIncarnationThatWasReplaced() {
+    void shouldNotWaitForAnIncarnationThatWasReplacedElsewhere() {
         leadWithTwoOwners();
-        List<KeyAction> changed = know(new ServingEvent.ServerChanged(server("k1", 2, false)));
+        BackendServer elsewhere = new BackendServer("k1", 2, "stock", "10.0.0.9", 80, "dc1", 3, false, 0);
+        List<KeyAction> changed = know(new ServingEvent.ServerChanged(elsewhere));
         KeyMap moved = of(KeyAction.WriteMap.class, changed).get(0).map();
 
-        List<KeyAction> actions = tell(new KeyEvent.MapWritten(moved, 31));
+        List<KeyAction> actions = tell(new KeyEvent.MapWritten(moved, 32));
 
         assertThat(grants(actions)).anyMatch(grant -> grant.firstKey() < 32_768);
     }
 
+    @Test
+    void shouldAskAnIncarnationAtTheSameAddressToReleaseWhatWasGrantedToTheOneBefore() {
+        leadWithTwoOwners();
+        List<KeyAction> changed = know(new ServingEvent.ServerChanged(server("k1", 2, false)));
+        KeyMap moved = of(KeyAction.WriteMap.class, changed).get(0).map();
+
+        List<KeyAction> actions = tell(new KeyEvent.MapWritten(moved, 32));
+
+        assertThat(grants(actions)).noneMatch(grant -> grant.firstKey() < 32_768);
+        List<KeyAction.SendRelease> releases = of(KeyAction.SendRelease.class, actions);
+        assertThat(releases).isNotEmpty().allMatch(release -> release.owner().equals(owner("k1")));
+        List<KeyAction> afterRelease =
+                tell(new KeyEvent.Released(releases.get(0).callId(), ""));
+        assertThat(grants(afterRelease)).anyMatch(grant -> grant.firstKey() < 32_768);
+    }
+
+    @Test
+    void shouldRenewUnderTheFenceThatTheServerTook() {
+        leadWithTwoOwners();
+
+        List<KeyAction.SendGrant> renewals = grants(pass(700));
+
+        assertThat(renewals).hasSize(2).allMatch(KeyAction.SendGrant::isRenewal);
+    }
+
+    @Test
+    void shouldGrantUnderANewFenceWhenAnotherProcessMayHaveTheAddress() {
+        leadWithTwoOwners();
+        KeyAction.SendGrant renewal = grants(pass(700)).get(0);
+
+        List<KeyAction> actions = new ArrayList<>(tell(new KeyEvent.ServerUnproved(renewal.callId())));
+        actions.addAll(pass(50));
+
+        assertThat(grants(actions))
+                .filteredOn(grant -> grant.firstKey() == renewal.firstKey())
+                .singleElement()
+                .matches(grant -> !grant.isRenewal() && grant.fence() > renewal.fence());
+    }
+
+    @Test
+    void shouldGrantUnderANewFenceAfterAGrantWithoutAnswer() {
+        leadWithTwoOwners();
+        KeyAction.SendGrant renewal = grants(pass(700)).get(0);
+        tell(new KeyEvent.CallUnanswered(renewal.callId(), true));
+
+        List<KeyAction> actions = pass(400);
+
+        assertThat(grants(actions))
+                .filteredOn(grant -> grant.firstKey() == renewal.firstKey())
+                .first()
+                .matches(grant -> !grant.isRenewal() && grant.fence() > renewal.fence());
+    }
+
+    @Test
+    void shouldGrantNothingAboveAnotherControllersFencesBeforeItsOwnAreWritten() {
+        KeyMap before = leadWithTwoOwners();
+        tell(new KeyEvent.LeaseLost());
+        lead(60_000);
+
+        List<KeyAction> actions = new ArrayList<>(tell(new KeyEvent.MapRead(before, 33)));
+
+        assertThat(grants(actions)).isEmpty();
+        KeyMap map = of(KeyAction.WriteMap.class, actions).get(0).map();
+        List<KeyAction> afterWrite = tell(new KeyEvent.MapWritten(map, 34));
+        assertThat(grants(afterWrite)).hasSize(2).allMatch(grant -> grant.fence() >= before.nextFence());
+    }
+
     @Test
     void shouldDoNothingOnceItsLeaseHasEnded() {
         knowService("k1", "k2");
@@ -229,7 +299,7 @@
     void shouldTellOfTakenGrantsBeforeTheStoreHasThem() {
         leadWithTwoOwners();
         KeyMap moved = drainOwner();
-        List<KeyAction> actions = tell(new KeyEvent.MapWritten(moved, 31));
+        List<KeyAction> actions = tell(new KeyEvent.MapWritten(moved, 32));
         long releaseId = of(KeyAction.SendRelease.class, actions).get(0).callId();
         long grantId = grants(tell(new KeyEvent.Released(releaseId, ""))).stream()
                 .filter(grant -> grant.firstKey() < 32_768)
@@ -249,7 +319,7 @@
     void shouldWriteTheEndOfAMoveTogetherWithWhatFollows() {
         leadWithTwoOwners();
         KeyMap moved = drainOwner();
-        List<KeyAction> actions = tell(new KeyEvent.MapWritten(moved, 31));
+        List<KeyAction> actions = tell(new KeyEvent.MapWritten(moved, 32));
         List<KeyAction> inTime = new ArrayList<>();
         of(KeyAction.SendRelease.class, actions)
                 .forEach(release -> grants(tell(new KeyEvent.Released(release.callId(), "")))
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/FleetReplay.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/FleetReplay.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.IntSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -13,6 +14,7 @@
 import org.daisyscale.core.keys.KeyController;
 import org.daisyscale.core.keys.KeyEvent;
 import org.daisyscale.core.keys.KeySettings;
+import org.daisyscale.core.serving.AttemptOutcome;
 import org.daisyscale.core.serving.BackendServer;
 import org.daisyscale.core.serving.KeyMap;
 import org.daisyscale.core.serving.RequestHead;
@@ -47,6 +49,8 @@
     private final UniformRandomProvider random;
     private final List<RequestRouter> routers = new ArrayList<>();
     private final Map<String, ReplayedServer> serverById = new HashMap<>();
+    private final Map<String, ReplayedServer> serverByHost = new HashMap<>();
+    private final FenceHistory fences = new FenceHistory();
     private final Map<Long, Caller> callerById = new HashMap<>();
     private final Map<String, Integer> sentToCold = new HashMap<>();
     private final Set<String> cutServers = new HashSet<>();
@@ -102,14 +106,40 @@
 
     /** A server registers itself, cold for {@code coldMillis}. */
     ReplayedServer join(String id, double speed, long coldMillis) {
-        BackendServer registration =
-                new BackendServer(id, (long) time.nowMillis(), SERVICE, "10.0.0.1", 80, "dc-1", 3, false, coldMillis);
+        String host = "10.0.0." + (serverByHost.size() + 1);
+        BackendServer registration = registration(id, host, coldMillis);
         ReplayedServer server = new ReplayedServer(time, registration, isSharded, speed);
         serverById.put(id, server);
+        serverByHost.put(host, server);
         tellAll(new ServingEvent.ServerChanged(registration));
         return server;
     }
 
+    private BackendServer registration(String id, String host, long coldMillis) {
+        return new BackendServer(id, (long) time.nowMillis(), SERVICE, host, 80, "dc-1", 3, false, coldMillis);
+    }
+
+    /**
+     * The server's process ends and another starts at its address after {@code downMillis}, as {@code newId}; it is
+     * registered {@code newsMillis} later.
+     */
+    void restart(String serverId, String newId, double downMillis, double newsMillis) {
+        ReplayedServer server = serverById.get(serverId);
+        server.crash();
+        time.after(downMillis, () -> {
+            BackendServer registration =
+                    registration(newId, server.registration().host(), 0);
+            server.restart(registration);
+            serverById.put(newId, server);
+            time.after(newsMillis, () -> {
+                if (!newId.equals(serverId)) {
+                    tellAll(new ServingEvent.ServerRemoved(serverId));
+                }
+                tellAll(new ServingEvent.ServerChanged(registration));
+            });
+        });
+    }
+
     Timeline time() {
         return time;
     }
@@ -158,6 +188,16 @@
     private void arrive(int router, ServingAction.SendAttempt send, Caller caller) {
         ReplayedServer server = serverById.get(send.server().id());
         sentToCold.merge(server.registration().id(), 1, Integer::sum);
+        if (!server.isDown() && !server.registration().id().equals(send.server().id())) {
+            AttemptOutcome refusal = AttemptOutcome.REFUSED_NOT_OWNER;
+            time.after(
+                    WAY_MILLIS,
+                    () -> tell(
+                            router,
+                            new ServingEvent.AttemptEnded(
+                                    send.requestId(), send.attempt(), refusal, Optional.empty())));
+            return;
+        }
         server.arrive(
                 caller.key(),
                 caller.workMillis(),
@@ -267,15 +307,26 @@
     }
 
     private void grant(KeyAction.SendGrant grant) {
-        ReplayedServer server = serverById.get(grant.owner().serverId());
+        ReplayedServer server = serverByHost.get(grant.owner().host());
         boolean isCut = cutServers.contains(grant.owner().serverId());
         if (server.isDown() || (isCut && random.nextBoolean())) {
             controller(new KeyEvent.CallUnanswered(grant.callId(), !server.isDown()));
             return;
         }
-        serverById.values().stream()
+        serverByHost.values().stream()
                 .filter(other -> other != server && other.holdsAny(grant.firstKey(), grant.lastKey()))
                 .forEach(other -> result.doubleOwner());
+        String process = grant.owner().host() + '#' + server.life();
+        if (grant.isRenewal() && !fences.isTakenBy(grant.fence(), process)) {
+            controller(
+                    random.nextBoolean()
+                            ? new KeyEvent.ServerUnproved(grant.callId())
+                            : new KeyEvent.CallUnanswered(grant.callId(), true));
+            return;
+        }
+        if (!fences.isTaken(grant.firstKey(), grant.lastKey(), grant.fence(), process)) {
+            result.reusedFence();
+        }
         server.grant(grant.firstKey(), grant.lastKey(), grant.fence(), grant.holdMillis());
         time.after(
                 WAY_MILLIS,
@@ -286,7 +337,7 @@
     }
 
     private void release(KeyAction.SendRelease release) {
-        ReplayedServer server = serverById.get(release.owner().serverId());
+        ReplayedServer server = serverByHost.get(release.owner().host());
         if (server.isDown() || cutServers.contains(release.owner().serverId())) {
             controller(new KeyEvent.CallUnanswered(release.callId(), !server.isDown()));
             return;
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/OwnershipUnderFaultsTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/OwnershipUnderFaultsTest.java
@@ -31,6 +31,33 @@
         assertThat(replay.result().answeredShare()).isPositive();
     }
 
+    /** Guards against renewals that reach another process at a known address. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+    void shouldNeverGiveAFenceToTwoProcessesWhenServersRestartAtTheirAddresses(long seed) {
+        UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(seed);
+        FleetReplay replay = new FleetReplay(seed, 3, new double[] {1, 1, 0.5, 1, 1.5, 1}, true);
+        replay.load(40, 100, END_MILLIS, () -> random.nextInt(KeyMap.KEY_COUNT / 8));
+        for (int server = 0; server < SERVERS; server++) {
+            double atMillis = 3_000 + random.nextDouble() * (END_MILLIS - 20_000);
+            String serverId = "server-" + (10 + server);
+            String newId = random.nextBoolean() ? serverId : serverId + "-again";
+            double downMillis = random.nextDouble() * 2_000;
+            double newsMillis = random.nextDouble() * 3_000;
+            replay.time().after(atMillis, () -> replay.restart(serverId, newId, downMillis, newsMillis));
+            replay.time()
+                    .after(
+                            atMillis + random.nextInt(8_000) - 2_000,
+                            () -> inject(random.nextInt(2), serverId, replay, random));
+        }
+
+        replay.time().runUntilMillis(END_MILLIS);
+
+        assertThat(replay.result().reusedFences()).isZero();
+        assertThat(replay.result().doubleOwners()).isZero();
+        assertThat(replay.result().answeredShare()).isPositive();
+    }
+
     private static void inject(int kind, String serverId, FleetReplay replay, UniformRandomProvider random) {
         switch (kind) {
             case 0 -> replay.cutFromController(serverId, 1_000 + random.nextInt(8_000));
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/ReplayResult.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/ReplayResult.java
@@ -15,6 +15,7 @@
     private int late;
     private int lost;
     private int doubleOwners;
+    private int reusedFences;
     private double movedShare;
 
     void answered(double tookMillis) {
@@ -33,6 +34,15 @@
         lost++;
     }
 
+    void reusedFence() {
+        reusedFences++;
+    }
+
+    /** The grants that a process took with a fence not above those with which others had the keys. */
+    int reusedFences() {
+        return reusedFences;
+    }
+
     void doubleOwner() {
         doubleOwners++;
     }
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/ReplayedServer.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/ReplayedServer.java
@@ -15,7 +15,7 @@
     private static final int QUEUE_LIMIT = 12;
 
     private final Timeline time;
-    private final BackendServer registration;
+    private BackendServer registration;
     private final boolean isSharded;
     private final Deque<Work> waiting = new ArrayDeque<>();
     private final List<Work> running = new ArrayList<>();
@@ -23,6 +23,7 @@
     private double speed;
     private double noise = 1;
     private boolean isDown;
+    private int life = 1;
 
     ReplayedServer(Timeline time, BackendServer registration, boolean isSharded, double speed) {
         this.time = time;
@@ -51,6 +52,19 @@
         holds.clear();
     }
 
+    /** Another process starts at the address; it holds nothing. */
+    void restart(BackendServer newRegistration) {
+        crash();
+        registration = newRegistration;
+        isDown = false;
+        life++;
+    }
+
+    /** Tells the processes at the address apart. */
+    int life() {
+        return life;
+    }
+
     boolean isDown() {
         return isDown;
     }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/AttemptCalls.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/AttemptCalls.java
@@ -86,7 +86,7 @@
 
     private static AttemptOutcome failure(HttpCall.Failure failure) {
         return switch (failure) {
-            case NOT_SENT -> AttemptOutcome.NOT_SENT;
+            case NOT_SENT, UNPROVED -> AttemptOutcome.NOT_SENT;
             case CONNECTION_REFUSED -> AttemptOutcome.CONNECTION_REFUSED;
             case LOST -> AttemptOutcome.LOST;
             case SPOILED -> AttemptOutcome.SPOILED;
--- /dev/null
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/Connector.java
@@ -0,0 +1,57 @@
+package org.daisyscale.router.internal.serving;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.handler.codec.http.HttpClientCodec;
+import java.net.ConnectException;
+import org.daisyscale.router.internal.request.ByteBudget;
+import org.daisyscale.router.serving.ServingRouterSettings.Address;
+
+/** Opens connections to one address. Used by the thread of its event loop. */
+final class Connector {
+    private static final int MAX_LINE_BYTES = 8_192;
+    private static final int MAX_HEADER_BYTES = 65_536;
+    private static final int MAX_CHUNK_BYTES = 65_536;
+
+    private final Bootstrap bootstrap;
+    private final Address address;
+    private final ByteBudget answerBytes;
+
+    Connector(Bootstrap bootstrap, Address address, ByteBudget answerBytes) {
+        this.bootstrap = bootstrap;
+        this.address = address;
+        this.answerBytes = answerBytes;
+    }
+
+    /** A connection for {@code keeper} that is not open yet. */
+    HttpConnection create(ConnectionKeeper keeper) {
+        return new HttpConnection(keeper, answerBytes);
+    }
+
+    ChannelFuture open(HttpConnection connection) {
+        return bootstrap
+                .clone()
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(new UnaskedBytesHandler(connection))
+                                .addLast(new HttpClientCodec(
+                                        MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, false, false))
+                                .addLast(connection);
+                    }
+                })
+                .connect(address.host(), address.port());
+    }
+
+    /** Ends {@code call}, whose connection could not be made. */
+    static void fail(HttpCall call, Throwable cause) {
+        boolean isRefusal = cause instanceof ConnectException
+                && String.valueOf(cause.getMessage()).startsWith("Connection refused");
+        call.end(
+                isRefusal ? HttpCall.Failure.CONNECTION_REFUSED : HttpCall.Failure.NOT_SENT,
+                String.valueOf(cause.getMessage()));
+    }
+}
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpCall.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpCall.java
@@ -119,6 +119,8 @@
         NOT_SENT,
         /** No byte left, since the port refused the connection. */
         CONNECTION_REFUSED,
+        /** No byte left, since the call was bound to a process that can no longer be told from another. */
+        UNPROVED,
         /** The connection ended or stayed silent after bytes left. */
         LOST,
         /** What came was no whole answer to this call. */
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
@@ -36,7 +36,7 @@
 
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
 
-    private final ConnectionPool pool;
+    private final ConnectionKeeper keeper;
     private final ByteBudget answerBytes;
     private ChannelHandlerContext context;
     private HttpCall call;
@@ -50,8 +50,8 @@
     private long keepMillis = DEFAULT_KEEP_MILLIS;
     private long idleSinceNanos;
 
-    HttpConnection(ConnectionPool pool, ByteBudget answerBytes) {
-        this.pool = pool;
+    HttpConnection(ConnectionKeeper keeper, ByteBudget answerBytes) {
+        this.keeper = keeper;
         this.answerBytes = answerBytes;
     }
 
@@ -182,6 +182,8 @@
     private void finish() {
         HttpCall finished = call;
         HttpResponse answer = head;
+        byte[] bytes = body.toByteArray();
+        giveBytesBack();
         call = null;
         head = null;
         idleSinceNanos = System.nanoTime();
@@ -189,12 +191,10 @@
                 && isRequestWritten
                 && context.channel().isActive()) {
             keepMillis = keepMillis(answer);
-            pool.release(this);
+            keeper.release(this);
         } else {
             close();
         }
-        byte[] bytes = body.toByteArray();
-        giveBytesBack();
         finished.end(new WireReply(answer.status().code(), answer.headers(), bytes));
     }
 
@@ -211,7 +211,7 @@
         close();
         giveBytesBack();
         if (failed == null) {
-            pool.forget(this);
+            keeper.forget(this);
         } else {
             failed.end(failure, detail);
         }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpLoop.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpLoop.java
@@ -41,6 +41,7 @@
     private final Bootstrap bootstrap;
     private final ByteBudget answerBytes = new ByteBudget(ANSWER_BUDGET_BYTES);
     private final Map<Address, ConnectionPool> poolByAddress = new HashMap<>();
+    private final Map<Address, PinnedConnection> pinnedByAddress = new HashMap<>();
 
     private HttpLoop(String threadName) {
         this.group = new NioEventLoopGroup(1, task -> {
@@ -70,17 +71,38 @@
 
     /** Makes {@code call}; it ends as not sent when the loop has no room or is closed. */
     public void start(HttpCall call) {
+        execute(call, () -> startOnLoop(call));
+    }
+
+    /**
+     * Makes {@code call} on the one pinned connection to its address, see {@link PinnedConnection}; {@code pin} names
+     * what a process has got with it, and with {@code isBound} the call reaches that process or none.
+     */
+    public void startPinned(HttpCall call, long pin, boolean isBound) {
+        execute(call, () -> {
+            loop.schedule(() -> call.timeOut(), call.timeoutMillis(), TimeUnit.MILLISECONDS);
+            pinnedByAddress
+                    .computeIfAbsent(call.address(), address -> new PinnedConnection(connector(address)))
+                    .send(call, pin, isBound);
+        });
+    }
+
+    private void execute(HttpCall call, Runnable start) {
         try {
-            loop.execute(() -> startOnLoop(call));
+            loop.execute(start);
         } catch (RejectedExecutionException e) {
             call.end(HttpCall.Failure.NOT_SENT, "the loop takes no more calls");
         }
     }
 
+    private Connector connector(Address address) {
+        return new Connector(bootstrap, address, answerBytes);
+    }
+
     private void startOnLoop(HttpCall call) {
         loop.schedule(() -> call.timeOut(), call.timeoutMillis(), TimeUnit.MILLISECONDS);
         poolByAddress
-                .computeIfAbsent(call.address(), address -> new ConnectionPool(bootstrap, address, answerBytes))
+                .computeIfAbsent(call.address(), address -> new ConnectionPool(connector(address)))
                 .send(call);
     }
 
@@ -96,6 +118,8 @@
     private void sweep() {
         poolByAddress.values().forEach(ConnectionPool::closeStale);
         poolByAddress.values().removeIf(ConnectionPool::isUnused);
+        pinnedByAddress.values().forEach(PinnedConnection::closeStale);
+        pinnedByAddress.values().removeIf(PinnedConnection::isUnused);
     }
 
     @Override
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/KeyDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/KeyDuty.java
@@ -72,10 +72,11 @@
     private void send(KeyAction.SendGrant grant) {
         WireCall call =
                 dialect.grant(grant.firstKey(), grant.lastKey(), grant.fence(), grant.holdMillis(), grant.handover());
-        start(grant.owner(), call, GRANT_MILLIS, end -> {
+        HttpCall made = call(grant.owner(), call, GRANT_MILLIS, end -> {
             boolean isTaken = end.isAnswered() && end.reply().status() == HttpStatusCodes.OK;
             boolean isRefused = end.isAnswered() && dialect.isFenceTooLow(end.reply());
-            String how = isTaken ? "taken" : isRefused ? "fence-too-low" : "unanswered";
+            boolean isUnproved = end.failure() == HttpCall.Failure.UNPROVED;
+            String how = isTaken ? "taken" : isRefused ? "fence-too-low" : isUnproved ? "unproved" : "unanswered";
             metrics.keyCallEnded(how);
             if (!isTaken) {
                 logEnd("grant-failed", grant.owner(), grant.firstKey(), grant.lastKey(), grant.fence(), end);
@@ -84,15 +85,18 @@
                 tell(new KeyEvent.GrantTaken(grant.callId()));
             } else if (isRefused) {
                 tell(new KeyEvent.GrantRefused(grant.callId()));
+            } else if (isUnproved) {
+                tell(new KeyEvent.ServerUnproved(grant.callId()));
             } else {
                 tell(new KeyEvent.CallUnanswered(grant.callId(), wasSent(end)));
             }
         });
+        loop.startPinned(made, grant.fence(), grant.isRenewal());
     }
 
     private void send(KeyAction.SendRelease release) {
         WireCall call = dialect.release(release.firstKey(), release.lastKey(), release.fence());
-        start(release.owner(), call, RELEASE_MILLIS, end -> {
+        HttpCall made = call(release.owner(), call, RELEASE_MILLIS, end -> {
             boolean isReleased = end.isAnswered() && end.reply().status() == HttpStatusCodes.OK;
             metrics.keyCallEnded(isReleased ? "released" : "release-unanswered");
             logEnd(
@@ -111,11 +115,12 @@
                 tell(new KeyEvent.CallUnanswered(release.callId(), wasSent(end)));
             }
         });
+        loop.start(made);
     }
 
-    private void start(Owner owner, WireCall call, long millis, Consumer<HttpCall.End> onEnd) {
+    private HttpCall call(Owner owner, WireCall call, long millis, Consumer<HttpCall.End> onEnd) {
         Address address = new Address(owner.host(), owner.port());
-        loop.start(new HttpCall(address, StoreClient.request(call, address), millis, dialect::match, onEnd));
+        return new HttpCall(address, StoreClient.request(call, address), millis, dialect::match, onEnd);
     }
 
     private static boolean wasSent(HttpCall.End end) {
--- /dev/null
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/PinnedConnectionTest.java
@@ -0,0 +1,154 @@
+package org.daisyscale.router.internal.serving;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.daisyscale.router.serving.AnswerMatch;
+import org.daisyscale.router.serving.ServingRouterSettings.Address;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class PinnedConnectionTest {
+    private final HttpLoop loop = HttpLoop.start("test-calls");
+    private ServerSocket listener;
+
+    @BeforeEach
+    void listen() throws IOException {
+        listener = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+        listener.setSoTimeout(3_000);
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        listener.close();
+        loop.close();
+    }
+
+    private BlockingQueue<HttpCall.End> call(long pin, boolean isBound) {
+        BlockingQueue<HttpCall.End> ends = new ArrayBlockingQueue<>(1);
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/" + pin);
+        Address address = new Address("127.0.0.1", listener.getLocalPort());
+        HttpCall made = new HttpCall(address, request, 2_000, (sent, got) -> AnswerMatch.THIS_REQUEST, ends::add);
+        loop.startPinned(made, pin, isBound);
+        return ends;
+    }
+
+    private static HttpCall.End end(BlockingQueue<HttpCall.End> ends) throws InterruptedException {
+        return ends.poll(5, TimeUnit.SECONDS);
+    }
+
+    private static String readTarget(Socket socket) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (!head.toString().endsWith("\r\n\r\n")) {
+            head.append((char) socket.getInputStream().read());
+        }
+        return head.toString().split(" ")[1];
+    }
+
+    private static void answer(Socket socket) throws IOException {
+        socket.getOutputStream()
+                .write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private void callAnswered(long pin, Socket socket) throws Exception {
+        BlockingQueue<HttpCall.End> ends = call(pin, false);
+        assertThat(readTarget(socket)).isEqualTo("/" + pin);
+        answer(socket);
+        assertThat(end(ends).isAnswered()).isTrue();
+    }
+
+    @Test
+    void shouldMakeABoundCallOnTheConnectionOfItsPin() throws Exception {
+        BlockingQueue<HttpCall.End> first = call(7, false);
+        try (Socket socket = listener.accept()) {
+            readTarget(socket);
+            answer(socket);
+            assertThat(end(first).isAnswered()).isTrue();
+
+            BlockingQueue<HttpCall.End> renewal = call(7, true);
+            readTarget(socket);
+            answer(socket);
+
+            assertThat(end(renewal).isAnswered()).isTrue();
+        }
+    }
+
+    @Test
+    void shouldNotMakeABoundCallOnceTheConnectionOfItsPinIsGone() throws Exception {
+        BlockingQueue<HttpCall.End> first = call(7, false);
+        try (Socket socket = listener.accept()) {
+            readTarget(socket);
+            answer(socket);
+            assertThat(end(first).isAnswered()).isTrue();
+        }
+        Thread.sleep(200);
+
+        assertThat(end(call(7, true)).failure()).isEqualTo(HttpCall.Failure.UNPROVED);
+    }
+
+    @Test
+    void shouldNotMakeABoundCallOnAConnectionThatCameAfterThatOfItsPin() throws Exception {
+        BlockingQueue<HttpCall.End> first = call(7, false);
+        try (Socket socket = listener.accept()) {
+            readTarget(socket);
+            answer(socket);
+            assertThat(end(first).isAnswered()).isTrue();
+        }
+        Thread.sleep(200);
+        BlockingQueue<HttpCall.End> second = call(8, false);
+        try (Socket socket = listener.accept()) {
+            readTarget(socket);
+            answer(socket);
+            assertThat(end(second).isAnswered()).isTrue();
+
+            assertThat(end(call(7, true)).failure()).isEqualTo(HttpCall.Failure.UNPROVED);
+            callAnswered(9, socket);
+        }
+    }
+
+    @Test
+    void shouldMakeCallsOneAfterTheOtherOnOneConnection() throws Exception {
+        BlockingQueue<HttpCall.End> first = call(1, false);
+        BlockingQueue<HttpCall.End> second = call(2, false);
+        try (Socket socket = listener.accept()) {
+            assertThat(readTarget(socket)).isEqualTo("/1");
+            Thread.sleep(100);
+            assertThat(socket.getInputStream().available()).isZero();
+            answer(socket);
+            assertThat(readTarget(socket)).isEqualTo("/2");
+            answer(socket);
+
+            assertThat(end(first).isAnswered()).isTrue();
+            assertThat(end(second).isAnswered()).isTrue();
+        }
+    }
+
+    @Test
+    void shouldGoOnAfterACallWithoutAnswer() throws Exception {
+        BlockingQueue<HttpCall.End> first = call(1, false);
+        try (Socket socket = listener.accept()) {
+            readTarget(socket);
+        }
+        assertThat(end(first).failure()).isEqualTo(HttpCall.Failure.LOST);
+
+        BlockingQueue<HttpCall.End> second = call(2, false);
+        try (Socket socket = listener.accept()) {
+            readTarget(socket);
+            answer(socket);
+
+            assertThat(end(second).isAnswered()).isTrue();
+        }
+    }
+}
