Take from the common repeats only while routers count each other

Change: a router that isn't sure to be counted repeats only what its own requests allow. RequestRouterTest.shouldNotTakeFromTheCommonRepeatsBeforeOtherRoutersCountThisOne; the other cases now begin with a router that is counted.

--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/FleetView.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/FleetView.java
@@ -75,6 +75,11 @@
         return routers.routerIds(nowNanos).size();
     }
 
+    /** This router's part of what all routers share; none while they may not count each other. */
+    double ownPart(long nowNanos) {
+        return routers.isComplete(nowNanos) ? 1.0 / routerCount(nowNanos) : 0;
+    }
+
     /** The requests that this router may send to a cold server in a window. */
     int coldShare(ServerView view, long nowNanos) {
         if (!routers.isComplete(nowNanos)) {
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RepeatBudget.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RepeatBudget.java
@@ -24,12 +24,15 @@
         of(requestsByService, service).add(nowNanos);
     }
 
-    /** Spends one repeat; false when this router's share is used up. */
-    boolean spend(String service, int routerCount, long nowNanos) {
+    /**
+     * Spends one repeat; false when this router's share is used up: its part of the repeats that are free, and what its
+     * own requests allow.
+     */
+    boolean spend(String service, double freePart, long nowNanos) {
         SlidingCount repeats = of(repeatsByService, service);
         double allowed =
                 settings.retryBudgetRatio() * of(requestsByService, service).count(nowNanos)
-                        + settings.retryBudgetSlackRequests() / Math.max(1, routerCount);
+                        + settings.retryBudgetSlackRequests() * freePart;
         if (repeats.count(nowNanos) + 1 > USED_PART * allowed) {
             return false;
         }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestDesk.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestDesk.java
@@ -198,7 +198,7 @@
             return false;
         }
         return request.triedCount() < request.route().maxBackends()
-                && repeats.spend(request.service(), fleet.routerCount(nowNanos), nowNanos);
+                && repeats.spend(request.service(), fleet.ownPart(nowNanos), nowNanos);
     }
 
     private void endAfter(OpenRequest request, AttemptOutcome outcome, String serverId) {
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/RequestRouterTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/RequestRouterTest.java
@@ -50,6 +50,7 @@
     }
 
     private void useOneTable() {
+        join();
         tell(new ServingEvent.TableChanged(table(
                 5,
                 route("pay", false, to("pooled", 1)),
@@ -57,6 +58,12 @@
                 route("keys", true, to("keyed", 1)))));
     }
 
+    /** All routers count this one, and it counts them. */
+    private void join() {
+        tell(new ServingEvent.RegistrationRenewed(nowNanos - 10_000 * MILLI, nowNanos + 1_000 * MILLI));
+        tell(new ServingEvent.RoutersConfirmed());
+    }
+
     private void addServers(String... ids) {
         for (String id : ids) {
             tell(new ServingEvent.ServerChanged(server(id, "pooled", false, 0)));
@@ -135,6 +142,17 @@
         assertThat(sent(actions).server().id()).isNotEqualTo(first);
     }
 
+    @Test
+    void shouldNotTakeFromTheCommonRepeatsBeforeOtherRoutersCountThisOne() {
+        tell(new ServingEvent.TableChanged(table(5, route("read", true, to("pooled", 1)))));
+        addServers("s1", "s2");
+        ask(1, "/read/1");
+
+        List<ServingAction> actions = ended(1, 1, AttemptOutcome.SPOILED);
+
+        assertThat(refused(actions)).isEqualTo(CoreErrorCode.OUTCOME_UNKNOWN);
+    }
+
     @Test
     void shouldRepeatAnIdempotentRequestElsewhereWhenItsAnswerWasSpoiled() {
         useOneTable();
@@ -223,8 +241,7 @@
     void shouldKeepAColdServerBelowThisRoutersShare() {
         useOneTable();
         tell(new ServingEvent.RoutersChanged(Set.of("r1", "r2", "r3", "r4")));
-        tell(new ServingEvent.RegistrationRenewed(nowNanos - 10_000 * MILLI, nowNanos + 1_000 * MILLI));
-        tell(new ServingEvent.RoutersConfirmed());
+        join();
         tell(new ServingEvent.ServerChanged(server("s1", "pooled", false, 3_000)));
 
         long sentCount = 0;
