--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/FenceBlock.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/FenceBlock.java
@@ -5,7 +5,7 @@
  * every later controller begins above them; no fence is given twice. Owned by the thread that owns the core.
  */
 final class FenceBlock {
-    /** The fences that each written map sets aside: grants without a proved server of several minutes of trouble. */
+    /** The fences that each written map sets aside: enough for minutes in which no renewal can be proved. */
     static final long SIZE = 10_000;
     /** When fewer are left, the next block is due. */
     private static final long LOW = SIZE / 4;
