--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/DirectRequestRouter.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/DirectRequestRouter.java
@@ -60,7 +60,7 @@
 
     private void learnTable(ServingEvent.TableChanged changed) {
         if (fleet.replaceTable(changed.table())) {
-            desk.weightsChanged();
+            desk.tableChanged(changed.table());
         }
     }
 
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestDesk.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestDesk.java
@@ -12,6 +12,7 @@
 import org.daisyscale.core.serving.AttemptOutcome;
 import org.daisyscale.core.serving.RequestHead;
 import org.daisyscale.core.serving.Route;
+import org.daisyscale.core.serving.RoutingTable;
 import org.daisyscale.core.serving.ServiceRules;
 import org.daisyscale.core.serving.ServingAction;
 import org.daisyscale.core.serving.ServingEvent;
@@ -63,8 +64,11 @@
         return Math.min(timers.nextDueNanos(), keyLoad.nextDueNanos());
     }
 
-    void weightsChanged() {
+    void tableChanged(RoutingTable table) {
         splitter.clear();
+        String detail = "version=%d routes=%d openRequests=%d"
+                .formatted(table.version(), table.routes().size(), openById.size());
+        actions.add(new ServingAction.Report("configuration-in-force", detail));
     }
 
     void arrived(long requestId, RequestHead head, long nowNanos) {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/Directory.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/Directory.java
@@ -75,7 +75,10 @@
             @Override
             public void written(Item item) {
                 decoder.table(item).ifPresent(table -> {
-                    EventLog.info("configuration-seen", "version=" + table.version() + " revision=" + item.revision());
+                    EventLog.info(
+                            "configuration-seen",
+                            "version=%d revision=%d bytes=%d"
+                                    .formatted(table.version(), item.revision(), item.value().length));
                     tellBoth(new ServingEvent.TableChanged(table));
                     readiness.tableKnown();
                 });
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetWatchDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetWatchDuty.java
@@ -74,6 +74,7 @@
             Thread.sleep(backoff.nextMillis());
         }
         removeMissing();
+        guard.noteAge();
     }
 
     private void watch() {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FollowedWatch.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FollowedWatch.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.daisyscale.core.peer.PeerMessage.StoreProgress;
+import org.daisyscale.router.internal.log.EventLog;
 
 /**
  * For items that must be followed within 2 s. A watch whose answer is lost hears nothing and doesn't end, so its
@@ -21,6 +22,9 @@
     /** How far a watch may lie behind the controller's, in milliseconds: over the way between two data centres. */
     static final long LAG_MILLIS = 100;
 
+    /** A view that is older may miss what had to be in force by now, in milliseconds; by the pages. */
+    private static final long OLD_MILLIS = 2_000;
+
     private final String prefix;
     private final Consumer<StoreProgress> publisher;
     private final Runnable onCurrent;
@@ -30,6 +34,8 @@
     private long expectedSinceNanos;
     private long confirmedNanos;
     private boolean isEverConfirmed;
+    private long currentNanos;
+    private boolean isOld;
 
     /**
      * Creates the guard of {@code prefix}; {@code publisher} gets what this router's own watch reached, and
@@ -40,6 +46,33 @@
         this.publisher = publisher;
         this.onCurrent = onCurrent;
         this.clockNanos = clockNanos;
+        this.currentNanos = clockNanos.getAsLong();
+    }
+
+    /** How long ago it was last known that nothing is missing, in milliseconds. */
+    synchronized long ageMillis() {
+        return millisSince(currentNanos);
+    }
+
+    @Override
+    public synchronized void noteAge() {
+        long ageMillis = ageMillis();
+        if (!isOld && ageMillis > OLD_MILLIS) {
+            isOld = true;
+            EventLog.warn(
+                    "view-old", "prefix=%s revision=%d ageMillis=%d".formatted(prefix, reachedRevision, ageMillis));
+        }
+    }
+
+    private synchronized void current() {
+        if (isOld) {
+            isOld = false;
+            EventLog.info(
+                    "view-current",
+                    "prefix=%s revision=%d afterMillis=%d".formatted(prefix, reachedRevision, ageMillis()));
+        }
+        currentNanos = clockNanos.getAsLong();
+        onCurrent.run();
     }
 
     /** The controller has just read the store. */
@@ -54,7 +87,7 @@
             expectedSinceNanos = confirmedNanos;
         }
         if (progress.revision() <= reachedRevision) {
-            onCurrent.run();
+            current();
         }
     }
 
@@ -82,7 +115,7 @@
         synchronized (this) {
             reachedRevision = revision;
         }
-        onCurrent.run();
+        current();
         publisher.accept(new StoreProgress(prefix, revision));
     }
 }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpCall.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpCall.java
@@ -3,13 +3,14 @@
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import org.daisyscale.router.serving.AnswerMatch;
 import org.daisyscale.router.serving.ServingRouterSettings.Address;
 import org.daisyscale.router.serving.WireReply;
 
-/** One HTTP call, which ends at most once. Used by the thread of its event loop. */
+/** One HTTP call, which ends at most once. Used by the thread of its event loop; any thread may ask what has come. */
 public final class HttpCall {
     private final Address address;
     private final FullHttpRequest request;
@@ -20,6 +21,7 @@
     private boolean isOver;
     private boolean wasWritten;
     private boolean needsNewConnection;
+    private final AtomicLong receivedBytes = new AtomicLong();
 
     /**
      * Creates a call.
@@ -78,6 +80,16 @@
         wasWritten = true;
     }
 
+    /** {@code bytes} of the answer's body have come. */
+    void received(int bytes) {
+        receivedBytes.addAndGet(bytes);
+    }
+
+    /** How much of the answer's body has come, in bytes. */
+    long receivedBytes() {
+        return receivedBytes.get();
+    }
+
     void end(WireReply reply) {
         endOnce(new End(reply, null, ""));
     }
@@ -95,7 +107,8 @@
 
     void timeOut() {
         if (!isOver) {
-            end(wasWritten ? Failure.LOST : Failure.NOT_SENT, "no answer within " + timeoutMillis + " ms");
+            String detail = "no answer within %d ms, %d bytes came".formatted(timeoutMillis, receivedBytes());
+            end(wasWritten ? Failure.LOST : Failure.NOT_SENT, detail);
             closeChannel();
         }
     }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
@@ -147,6 +147,7 @@
 
     private void keep(HttpContent content) {
         int bytes = content.content().readableBytes();
+        call.received(bytes);
         if (body.size() + bytes > MAX_ANSWER_BYTES || !reserve(bytes)) {
             String detail = "the answer has over %d bytes, or all answers together over %d"
                     .formatted(MAX_ANSWER_BYTES, answerBytes.limitBytes());
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -119,7 +119,7 @@
         return new KeyDuty(controller, keyEvents, mapWork, link, loop, dialect.backends(), metrics);
     }
 
-    private static DutyThread follow(
+    private DutyThread follow(
             StoreClient store,
             String prefix,
             ControllerLink controller,
@@ -127,6 +127,7 @@
             Runnable onCurrent) {
         FollowedWatch guard = new FollowedWatch(prefix, controller::publish, onCurrent, System::nanoTime);
         controller.add(guard);
+        metrics.viewAge(prefix, guard::ageMillis);
         FleetWatchDuty duty = new FleetWatchDuty(store, prefix, guard, GATHER_MILLIS, listener);
         return DutyThread.start("watch-" + prefix, duty::runStep);
     }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingMetrics.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingMetrics.java
@@ -8,7 +8,10 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.DoubleSupplier;
+import java.util.function.LongSupplier;
 
 /** The metrics of a router that binds requests itself. Safe for use by several threads. */
 final class ServingMetrics {
@@ -21,6 +24,7 @@
     private final Counter attempts;
     private final Counter ringFull;
     private final Counter keyCalls;
+    private final Map<String, LongSupplier> viewAgeByPrefix = new ConcurrentHashMap<>();
 
     ServingMetrics() {
         requests = counter("daisyscale_serving_requests", "Final answers by code", "code");
@@ -34,6 +38,13 @@
                 .classicUpperBounds(LATENCY_BOUNDS_SECONDS)
                 .labelNames("code")
                 .register(registry);
+        GaugeWithCallback.builder()
+                .name("daisyscale_serving_view_age_seconds")
+                .help("Time since this router last knew that its view of the store misses nothing")
+                .labelNames("prefix")
+                .callback(callback -> viewAgeByPrefix.forEach(
+                        (prefix, ageMillis) -> callback.call(ageMillis.getAsLong() / MILLIS_PER_SECOND, prefix)))
+                .register(registry);
     }
 
     private Counter counter(String name, String help, String label) {
@@ -57,6 +68,11 @@
         keyCalls.labelValues(end).inc();
     }
 
+    /** Shows the age of what is known of {@code prefix}, in milliseconds. */
+    void viewAge(String prefix, LongSupplier ageMillis) {
+        viewAgeByPrefix.put(prefix, ageMillis);
+    }
+
     void watch(String name, String help, DoubleSupplier value) {
         GaugeWithCallback.builder()
                 .name(name)
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/StoreClient.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/StoreClient.java
@@ -75,7 +75,10 @@
         PendingCall pending = start(dialect.watch(prefix, afterRevision, wait), timeoutMillis);
         Optional<HttpCall.End> end = pending.awaitUnless(isOverdue, timeoutMillis);
         if (end.isEmpty()) {
-            EventLog.info("store-watch-overdue", "prefix=" + prefix + " revision=" + afterRevision);
+            EventLog.info(
+                    "store-watch-overdue",
+                    "prefix=%s revision=%d receivedBytes=%d waitMillis=%d"
+                            .formatted(prefix, afterRevision, pending.call.receivedBytes(), wait.toMillis()));
             return Optional.empty();
         }
         return dialect.readChanges(answer(prefix, end.get()));
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/WatchGuard.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/WatchGuard.java
@@ -16,6 +16,9 @@
      */
     boolean isOverdue(long revision, long startNanos);
 
+    /** Logs once when it hasn't been known for long whether anything is missing. */
+    void noteAge();
+
     /** The store answered just now; {@code revision} is that of the last change under the prefix. */
     void reached(long revision);
 }
