--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpCall.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpCall.java
@@ -1,8 +1,10 @@
 package org.daisyscale.router.internal.serving;
 
 import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
@@ -14,14 +16,17 @@
 public final class HttpCall {
     private final Address address;
     private final FullHttpRequest request;
-    private final long timeoutMillis;
+    private final CallLimit limit;
     private final BiFunction<HttpHeaders, HttpHeaders, AnswerMatch> matcher;
     private final Consumer<End> onEnd;
     private Channel channel;
     private boolean isOver;
     private boolean wasWritten;
     private boolean needsNewConnection;
+    private final long startNanos = System.nanoTime();
     private final AtomicLong receivedBytes = new AtomicLong();
+    private volatile boolean hasBegun;
+    private long lastPartNanos;
 
     /**
      * Creates a call.
@@ -38,9 +43,19 @@
             long timeoutMillis,
             BiFunction<HttpHeaders, HttpHeaders, AnswerMatch> matcher,
             Consumer<End> onEnd) {
+        this(address, request, CallLimit.ofWhole(timeoutMillis), matcher, onEnd);
+    }
+
+    /** Creates a call as above whose time is limited by {@code limit}. */
+    HttpCall(
+            Address address,
+            FullHttpRequest request,
+            CallLimit limit,
+            BiFunction<HttpHeaders, HttpHeaders, AnswerMatch> matcher,
+            Consumer<End> onEnd) {
         this.address = address;
         this.request = request;
-        this.timeoutMillis = timeoutMillis;
+        this.limit = limit;
         this.matcher = matcher;
         this.onEnd = onEnd;
     }
@@ -53,10 +68,6 @@
         return request;
     }
 
-    long timeoutMillis() {
-        return timeoutMillis;
-    }
-
     AnswerMatch match(HttpHeaders answerHeaders) {
         return matcher.apply(request.headers(), answerHeaders);
     }
@@ -80,9 +91,16 @@
         wasWritten = true;
     }
 
-    /** {@code bytes} of the answer's body have come. */
+    /** A part of the answer has come, with {@code bytes} of its body. */
     void received(int bytes) {
+        lastPartNanos = System.nanoTime();
         receivedBytes.addAndGet(bytes);
+        hasBegun = true;
+    }
+
+    /** Whether a part of the answer has come. */
+    boolean hasBegun() {
+        return hasBegun;
     }
 
     /** How much of the answer's body has come, in bytes. */
@@ -105,14 +123,30 @@
         }
     }
 
-    void timeOut() {
-        if (!isOver) {
-            String detail = "no answer within %d ms, %d bytes came".formatted(timeoutMillis, receivedBytes());
-            end(wasWritten ? Failure.LOST : Failure.NOT_SENT, detail);
-            closeChannel();
+    /** Gives the call up when its time is over, or looks again on {@code loop} when that may be. */
+    void watchTime(EventLoop loop) {
+        if (isOver) {
+            return;
+        }
+        long leftMillis = limit.leftMillis(millisSince(startNanos), hasBegun, millisSince(lastPartNanos));
+        if (leftMillis > 0) {
+            loop.schedule(() -> watchTime(loop), leftMillis, TimeUnit.MILLISECONDS);
+        } else {
+            timeOut();
         }
     }
 
+    private static long millisSince(long nanos) {
+        return (System.nanoTime() - nanos) / 1_000_000L;
+    }
+
+    private void timeOut() {
+        String detail =
+                "no whole answer within %d ms, %d bytes came".formatted(millisSince(startNanos), receivedBytes());
+        end(wasWritten ? Failure.LOST : Failure.NOT_SENT, detail);
+        closeChannel();
+    }
+
     void cancel() {
         if (!isOver) {
             isOver = true;
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
@@ -114,6 +114,7 @@
             fail(HttpCall.Failure.SPOILED, "an answer that names no request may be an earlier one again");
         } else if (!isPassingOver) {
             head = response;
+            call.received(0);
             body = new ByteArrayOutputStream();
         }
         hadAnswer = true;
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpLoop.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpLoop.java
@@ -80,10 +80,12 @@
      */
     public void startPinned(HttpCall call, long pin, boolean isBound) {
         execute(call, () -> {
-            loop.schedule(() -> call.timeOut(), call.timeoutMillis(), TimeUnit.MILLISECONDS);
-            pinnedByAddress
-                    .computeIfAbsent(call.address(), address -> new PinnedConnection(connector(address)))
-                    .send(call, pin, isBound);
+            call.watchTime(loop);
+            if (!call.isOver()) {
+                pinnedByAddress
+                        .computeIfAbsent(call.address(), address -> new PinnedConnection(connector(address)))
+                        .send(call, pin, isBound);
+            }
         });
     }
 
@@ -100,10 +102,12 @@
     }
 
     private void startOnLoop(HttpCall call) {
-        loop.schedule(() -> call.timeOut(), call.timeoutMillis(), TimeUnit.MILLISECONDS);
-        poolByAddress
-                .computeIfAbsent(call.address(), address -> new ConnectionPool(connector(address)))
-                .send(call);
+        call.watchTime(loop);
+        if (!call.isOver()) {
+            poolByAddress
+                    .computeIfAbsent(call.address(), address -> new ConnectionPool(connector(address)))
+                    .send(call);
+        }
     }
 
     /** Breaks {@code call} off by closing its connection; it does not end. */
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/StoreClient.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/StoreClient.java
@@ -26,10 +26,16 @@
 
 /** The one client of the platform's store. Safe for use by several threads, but not for the event loop's own. */
 public final class StoreClient implements CoordinationStore {
-    /** The time for an answer that needs no waiting, in milliseconds: over a hundred times the usual. */
-    private static final long CALL_MILLIS = 600;
-    /** What a watch may take beyond its wait, in milliseconds. */
+    /** The time for an answer that needs no waiting to begin, in milliseconds: over a hundred times the usual. */
+    private static final long BEGIN_MILLIS = 600;
+    /** What a watch may take to begin its answer beyond its wait, in milliseconds. */
     private static final long WATCH_MARGIN_MILLIS = 1_500;
+    /** How long nothing more of an answer may come, in milliseconds: a lost packet is sent again sooner. */
+    private static final long PAUSE_MILLIS = 600;
+    /** The time for a whole answer once it has begun, in milliseconds: a megabyte on the slowest links. */
+    private static final long WHOLE_MILLIS = 8_000;
+    /** Calls without waiting. */
+    private static final CallLimit USUAL = limit(0, BEGIN_MILLIS);
     /** How much longer than the call the caller waits for its end, in milliseconds. */
     private static final long END_MARGIN_MILLIS = 1_000;
 
@@ -52,18 +58,18 @@
 
     @Override
     public Optional<Item> get(String key) {
-        return dialect.readItem(call(dialect.get(key), CALL_MILLIS));
+        return dialect.readItem(call(dialect.get(key)));
     }
 
     @Override
     public Listing list(String prefix) {
         List<Item> items = new ArrayList<>();
-        StoreDialect.Page page = dialect.readPage(call(dialect.list(prefix, ""), CALL_MILLIS));
+        StoreDialect.Page page = dialect.readPage(call(dialect.list(prefix, "")));
         long revision = page.listing().revision();
         items.addAll(page.listing().items());
         while (page.hasMore() && !page.listing().items().isEmpty()) {
             String last = items.get(items.size() - 1).key();
-            page = dialect.readPage(call(dialect.list(prefix, last), CALL_MILLIS));
+            page = dialect.readPage(call(dialect.list(prefix, last)));
             items.addAll(page.listing().items());
         }
         return new Listing(items, revision);
@@ -71,9 +77,9 @@
 
     @Override
     public Optional<Changes> watch(String prefix, long afterRevision, Duration wait, BooleanSupplier isOverdue) {
-        long timeoutMillis = wait.toMillis() + WATCH_MARGIN_MILLIS;
-        PendingCall pending = start(dialect.watch(prefix, afterRevision, wait), timeoutMillis);
-        Optional<HttpCall.End> end = pending.awaitUnless(isOverdue, timeoutMillis);
+        CallLimit limit = limit(wait.toMillis(), WATCH_MARGIN_MILLIS);
+        PendingCall pending = start(dialect.watch(prefix, afterRevision, wait), limit);
+        Optional<HttpCall.End> end = pending.awaitUnless(isOverdue, limit);
         if (end.isEmpty()) {
             EventLog.info(
                     "store-watch-overdue",
@@ -86,7 +92,7 @@
 
     @Override
     public WriteEnd write(Change change) {
-        HttpCall.End end = end(dialect.write(change), CALL_MILLIS);
+        HttpCall.End end = end(dialect.write(change));
         if (!end.isAnswered()) {
             boolean isUnknown = end.failure() == HttpCall.Failure.LOST || end.failure() == HttpCall.Failure.SPOILED;
             return new WriteEnd(isUnknown ? WriteOutcome.UNKNOWN : WriteOutcome.REFUSED, 0);
@@ -96,21 +102,26 @@
 
     @Override
     public long grantLease(Duration timeToLive) {
-        return dialect.readLease(call(dialect.grantLease(timeToLive), CALL_MILLIS));
+        return dialect.readLease(call(dialect.grantLease(timeToLive)));
     }
 
     @Override
     public boolean renewLease(long leaseId) {
-        return dialect.readRenewal(call(dialect.renewLease(leaseId), CALL_MILLIS));
+        return dialect.readRenewal(call(dialect.renewLease(leaseId)));
     }
 
     @Override
     public void endLease(long leaseId) {
-        call(dialect.endLease(leaseId), CALL_MILLIS);
+        call(dialect.endLease(leaseId));
     }
 
-    private WireReply call(WireCall call, long timeoutMillis) {
-        return answer(call.target(), end(call, timeoutMillis));
+    private static CallLimit limit(long waitMillis, long marginMillis) {
+        long beginMillis = waitMillis + marginMillis;
+        return new CallLimit(beginMillis, PAUSE_MILLIS, beginMillis + WHOLE_MILLIS);
+    }
+
+    private WireReply call(WireCall call) {
+        return answer(call.target(), end(call));
     }
 
     private static WireReply answer(String target, HttpCall.End end) {
@@ -128,16 +139,14 @@
         return reply;
     }
 
-    private HttpCall.End end(WireCall call, long timeoutMillis) {
-        return start(call, timeoutMillis)
-                .awaitUnless(() -> false, timeoutMillis)
-                .orElseThrow();
+    private HttpCall.End end(WireCall call) {
+        return start(call, USUAL).awaitUnless(() -> false, USUAL).orElseThrow();
     }
 
-    private PendingCall start(WireCall call, long timeoutMillis) {
+    private PendingCall start(WireCall call, CallLimit limit) {
         BlockingQueue<HttpCall.End> ends = new ArrayBlockingQueue<>(1);
         HttpCall made = new HttpCall(
-                address, request(call, address), timeoutMillis, (sent, got) -> AnswerMatch.THIS_REQUEST, ends::add);
+                address, request(call, address), limit, (sent, got) -> AnswerMatch.THIS_REQUEST, ends::add);
         loop.start(made);
         return new PendingCall(made, ends);
     }
@@ -169,16 +178,16 @@
             this.ends = ends;
         }
 
-        /** The end of the call; empty when {@code isOverdue} held and the call was given up. */
-        Optional<HttpCall.End> awaitUnless(BooleanSupplier isOverdue, long timeoutMillis) {
-            long endNanos = System.nanoTime() + (timeoutMillis + END_MARGIN_MILLIS) * 1_000_000L;
+        /** The end of the call; empty when {@code isOverdue} held before the answer began and the call was given up. */
+        Optional<HttpCall.End> awaitUnless(BooleanSupplier isOverdue, CallLimit limit) {
+            long endNanos = System.nanoTime() + (limit.wholeMillis() + END_MARGIN_MILLIS) * 1_000_000L;
             try {
                 while (System.nanoTime() - endNanos < 0) {
                     HttpCall.End end = ends.poll(LOOK_MILLIS, TimeUnit.MILLISECONDS);
                     if (end != null) {
                         return Optional.of(end);
                     }
-                    if (isOverdue.getAsBoolean()) {
+                    if (!call.hasBegun() && isOverdue.getAsBoolean()) {
                         loop.cancel(call);
                         return Optional.empty();
                     }
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/HttpLoopTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/HttpLoopTest.java
@@ -51,11 +51,21 @@
         return ends;
     }
 
+    private BlockingQueue<End> call(String id, CallLimit limit) {
+        BlockingQueue<End> ends = new ArrayBlockingQueue<>(1);
+        loop.start(newCall(id, limit, ends));
+        return ends;
+    }
+
     private HttpCall newCall(String id, long timeoutMillis, BlockingQueue<End> ends) {
+        return newCall(id, CallLimit.ofWhole(timeoutMillis), ends);
+    }
+
+    private HttpCall newCall(String id, CallLimit limit, BlockingQueue<End> ends) {
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
         request.headers().set("Id", id);
         Address address = new Address("127.0.0.1", listener.getLocalPort());
-        return new HttpCall(address, request, timeoutMillis, HttpLoopTest::match, ends::add);
+        return new HttpCall(address, request, limit, HttpLoopTest::match, ends::add);
     }
 
     private static AnswerMatch match(HttpHeaders sent, HttpHeaders got) {
@@ -161,6 +171,35 @@
         }
     }
 
+    @Test
+    void shouldWaitForALongAnswerWhileMoreOfItComes() throws Exception {
+        BlockingQueue<End> ends = call("a", new CallLimit(400, 400, 5_000));
+        try (Socket socket = listener.accept()) {
+            readRequest(socket);
+            write(socket, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\n");
+            for (String part : "parts".split("")) {
+                Thread.sleep(150);
+                write(socket, part);
+            }
+
+            assertThat(end(ends).isAnswered()).isTrue();
+        }
+    }
+
+    @Test
+    void shouldGiveUpAnAnswerOfWhichNoMoreComes() throws Exception {
+        BlockingQueue<End> ends = call("a", new CallLimit(400, 400, 5_000));
+        try (Socket socket = listener.accept()) {
+            readRequest(socket);
+            write(socket, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\npa");
+
+            End end = end(ends);
+
+            assertThat(end.failure()).isEqualTo(Failure.LOST);
+            assertThat(end.detail()).contains("2 bytes came");
+        }
+    }
+
     @Test
     void shouldResetTheConnectionOfACallThatItGaveUp() throws Exception {
         BlockingQueue<End> ends = call("a", 200);
