--- a/daisyscale-codec/src/test/java/org/daisyscale/codec/SampleRecords.java
+++ b/daisyscale-codec/src/test/java/org/daisyscale/codec/SampleRecords.java
@@ -66,7 +66,7 @@
 
     private static Object samplePlain(Class<?> raw) {
         return switch (raw.getSimpleName()) {
-            case "long" -> Long.MAX_VALUE - 7;
+            case "long", "Long" -> Long.MAX_VALUE - 7;
             case "int", "Integer" -> 70_007;
             case "double", "Double" -> 0.25;
             case "boolean" -> true;
--- a/daisyscale-core/src/main/java/org/daisyscale/core/peer/PeerMessage.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/peer/PeerMessage.java
@@ -1,6 +1,7 @@
 package org.daisyscale.core.peer;
 
 import java.util.List;
+import java.util.Set;
 import org.daisyscale.core.document.Configuration;
 import org.daisyscale.core.keys.KeyLoad;
 import org.daisyscale.core.membership.ServerStatus;
@@ -8,6 +9,7 @@
 import org.daisyscale.core.request.BackendOutcome;
 import org.daisyscale.core.request.Permit;
 import org.daisyscale.core.serving.KeyMap;
+import org.daisyscale.core.serving.RoutingTableChange;
 
 /**
  * What routers say to each other. The sender is known from the connection. Each message is immutable.
@@ -284,4 +286,19 @@
      * @param revision the store's revision of the last change under the prefix
      */
     record StoreProgress(String prefix, long revision) implements PeerMessage {}
+
+    /**
+     * Tells a router what the operator wrote, as the controller has read it.
+     *
+     * @param revision the store's revision up to which the controller has read
+     * @param table what leads to the newest configuration
+     * @param evacuatedDataCentres all data centres that must get no requests
+     */
+    record OperatorUpdate(long revision, RoutingTableChange table, Set<String> evacuatedDataCentres)
+            implements PeerMessage {
+
+        public OperatorUpdate {
+            evacuatedDataCentres = Set.copyOf(evacuatedDataCentres);
+        }
+    }
 }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/peer/PeerOutbox.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/peer/PeerOutbox.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.daisyscale.core.peer.PeerMessage;
 
 /**
@@ -12,6 +13,19 @@
  * is closed it holds nothing. Safe for use by several threads.
  */
 final class PeerOutbox {
+    private static final Set<Class<? extends PeerMessage>> STATE = Set.of(
+            PeerMessage.Ping.class,
+            PeerMessage.Pong.class,
+            PeerMessage.MapRequest.class,
+            PeerMessage.MapUpdate.class,
+            PeerMessage.ConfigurationRequest.class,
+            PeerMessage.ConfigurationUpdate.class,
+            PeerMessage.RangeReport.class,
+            PeerMessage.KeyLoadReport.class,
+            PeerMessage.KeyMapUpdate.class,
+            PeerMessage.StoreProgress.class,
+            PeerMessage.OperatorUpdate.class);
+
     private final int limit;
     private final Map<Object, PeerMessage> waiting = new LinkedHashMap<>();
     private long sequence;
@@ -24,16 +38,7 @@
 
     /** Whether {@code message} tells state, so that losing it to newer state or a lost connection is no harm. */
     static boolean isState(PeerMessage message) {
-        return message instanceof PeerMessage.Ping
-                || message instanceof PeerMessage.Pong
-                || message instanceof PeerMessage.MapRequest
-                || message instanceof PeerMessage.MapUpdate
-                || message instanceof PeerMessage.ConfigurationRequest
-                || message instanceof PeerMessage.ConfigurationUpdate
-                || message instanceof PeerMessage.RangeReport
-                || message instanceof PeerMessage.KeyLoadReport
-                || message instanceof PeerMessage.KeyMapUpdate
-                || message instanceof PeerMessage.StoreProgress;
+        return STATE.contains(message.getClass());
     }
 
     synchronized void open() {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.daisyscale.codec.peer.PeerCodec;
@@ -14,6 +15,7 @@
 import org.daisyscale.core.keys.KeyEvent;
 import org.daisyscale.core.keys.KeyLoad;
 import org.daisyscale.core.peer.PeerMessage;
+import org.daisyscale.core.peer.PeerMessage.OperatorUpdate;
 import org.daisyscale.core.serving.KeyMap;
 import org.daisyscale.core.serving.ServingEvent;
 import org.daisyscale.router.internal.duty.DutyThread;
@@ -38,6 +40,7 @@
     private final Address address;
     private final Consumer<ServingEvent> servingEvents;
     private final Consumer<KeyEvent> keyEvents;
+    private final Ring<OperatorUpdate> operatorUpdates;
     private final Ring<Event> peerEvents = new ArrayRing<>("peer-events", RING_CAPACITY);
     private final List<FollowedWatch> followed = new ArrayList<>();
     private final Map<String, RouterEntry> routerById = new HashMap<>();
@@ -46,13 +49,19 @@
     private PeerNetwork network;
     private DutyThread reader;
     private RouterEntry controller;
+    private OperatorUpdate published;
 
     ControllerLink(
-            String routerId, Address address, Consumer<ServingEvent> servingEvents, Consumer<KeyEvent> keyEvents) {
+            String routerId,
+            Address address,
+            Consumer<ServingEvent> servingEvents,
+            Consumer<KeyEvent> keyEvents,
+            Ring<OperatorUpdate> operatorUpdates) {
         this.routerId = routerId;
         this.address = address;
         this.servingEvents = servingEvents;
         this.keyEvents = keyEvents;
+        this.operatorUpdates = operatorUpdates;
     }
 
     /** {@code watch} hears of the controller's progress. */
@@ -67,6 +76,14 @@
         }
     }
 
+    /** The controller tells all routers what operators wrote, once; other routers tell nobody. */
+    synchronized void publish(OperatorUpdate update) {
+        if (isController() && !update.equals(published)) {
+            published = update;
+            connected.forEach(peer -> network.send(new Action.SendPeer(peer, update)));
+        }
+    }
+
     /** From now on peers can be spoken to. */
     synchronized void secretKnown(String secret) {
         if (network != null) {
@@ -90,6 +107,7 @@
         EventLog.info("controller-seen", "controller=" + newController);
         controller = newController;
         publishedByService.clear();
+        published = null;
         dial();
     }
 
@@ -157,6 +175,8 @@
             connected.add(up.peer());
             EventLog.info("peer-connected", "peer=" + up.peer());
             if (isController()) {
+                Optional.ofNullable(published)
+                        .ifPresent(update -> network.send(new Action.SendPeer(up.peer(), update)));
                 publishedByService.values().forEach(map -> send(up.peer(), map));
             }
         } else if (event instanceof Event.PeerDisconnected down) {
@@ -174,6 +194,15 @@
             servingEvents.accept(new ServingEvent.KeyMapChanged(update.map()));
         } else if (message instanceof PeerMessage.StoreProgress progress && isControlledBy(from)) {
             followed.forEach(watch -> watch.confirm(progress));
+        } else if (message instanceof OperatorUpdate update && isControlledBy(from)) {
+            take(update);
+        }
+    }
+
+    /** Without room for it the update is dropped: this router then lies behind the controller and reads the store. */
+    private void take(OperatorUpdate update) {
+        if (!operatorUpdates.offer(update)) {
+            EventLog.info("operator-update-dropped", "revision=" + update.revision());
         }
     }
 
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/Directory.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/Directory.java
@@ -68,44 +68,9 @@
         };
     }
 
-    /** Listens to what operators write. */
-    FleetWatchDuty.Listener operators() {
-        Set<String> evacuated = new HashSet<>();
-        return new FleetWatchDuty.Listener() {
-            @Override
-            public void written(Item item) {
-                decoder.table(item).ifPresent(table -> {
-                    EventLog.info(
-                            "configuration-seen",
-                            "version=%d revision=%d bytes=%d"
-                                    .formatted(table.version(), item.revision(), item.value().length));
-                    tellBoth(new ServingEvent.TableChanged(table));
-                    readiness.tableKnown();
-                });
-                decoder.evacuatedDataCentre(item.key()).ifPresent(dataCentre -> {
-                    evacuated.add(dataCentre);
-                    tellEvacuated();
-                });
-            }
-
-            @Override
-            public void removed(String key) {
-                decoder.evacuatedDataCentre(key).ifPresent(dataCentre -> {
-                    evacuated.remove(dataCentre);
-                    tellEvacuated();
-                });
-            }
-
-            private void tellEvacuated() {
-                EventLog.info("evacuation-seen", "dataCentres=" + evacuated);
-                tellBoth(new ServingEvent.EvacuationsChanged(evacuated));
-            }
-
-            @Override
-            public void listed() {
-                readiness.operatorsKnown();
-            }
-        };
+    /** Takes what operators write. */
+    OperatorBook operators() {
+        return new OperatorBook(decoder, this::tellBoth, readiness);
     }
 
     /** Listens to what routers write. */
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetWatchDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetWatchDuty.java
@@ -37,13 +37,10 @@
     private final Backoff backoff = new Backoff(MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS);
     private final Map<String, Item> known = new HashMap<>();
     private final Set<String> missingKeys = new HashSet<>();
+    private final StoreContact contact;
     private long revision;
     private long lastChangeRevision;
     private boolean isListed;
-    private boolean isAway;
-    private long awaySinceNanos;
-    private boolean wasLongAway;
-    private long returnedNanos;
 
     /** Creates the duty; changes that follow one within {@code gatherMillis} come with one call. */
     FleetWatchDuty(CoordinationStore store, String prefix, WatchGuard guard, long gatherMillis, Listener listener) {
@@ -52,6 +49,7 @@
         this.guard = guard;
         this.gatherMillis = gatherMillis;
         this.listener = listener;
+        this.contact = new StoreContact(prefix);
     }
 
     /** Reads or waits once. */
@@ -61,7 +59,7 @@
                 watch();
             } else {
                 CoordinationStore.Listing listing = store.list(prefix);
-                noteBack();
+                contact.answered(revision);
                 apply(listing);
             }
             backoff.reset();
@@ -69,7 +67,7 @@
                 Thread.sleep(gatherMillis);
             }
         } catch (StoreException e) {
-            noteAway(e);
+            contact.lost(e, revision);
             isListed = false;
             Thread.sleep(backoff.nextMillis());
         }
@@ -81,7 +79,7 @@
         long startNanos = System.nanoTime();
         Optional<Changes> changes =
                 store.watch(prefix, revision, nextWait(), () -> guard.isOverdue(revision, startNanos));
-        noteBack();
+        contact.answered(revision);
         if (changes.isEmpty()) {
             historyLost();
         } else if (changes.get().changes().isEmpty()) {
@@ -99,23 +97,6 @@
         }
     }
 
-    private void noteAway(StoreException failure) {
-        if (!isAway) {
-            isAway = true;
-            awaySinceNanos = System.nanoTime();
-            EventLog.warn("store-lost", "prefix=" + prefix + " revision=" + revision + " reason=" + failure.detail());
-        }
-    }
-
-    private void noteBack() {
-        if (isAway) {
-            isAway = false;
-            returnedNanos = System.nanoTime();
-            wasLongAway = returnedNanos - awaySinceNanos >= LAPSE_MILLIS * 1_000_000L;
-            EventLog.info("store-regained", "prefix=" + prefix + " revision=" + revision);
-        }
-    }
-
     private Duration nextWait() {
         return missingKeys.isEmpty() ? guard.nextWait() : Duration.ofMillis(RETURN_MILLIS / 4);
     }
@@ -155,7 +136,7 @@
     }
 
     private boolean isWithinGrace() {
-        return wasLongAway && System.nanoTime() - returnedNanos < RETURN_MILLIS * 1_000_000L;
+        return contact.isJustBack(LAPSE_MILLIS, RETURN_MILLIS);
     }
 
     private void written(Item item) {
@@ -189,7 +170,7 @@
     }
 
     private void removeMissing() {
-        if (!isAway && !isWithinGrace()) {
+        if (!contact.isAway() && !isWithinGrace()) {
             Set.copyOf(missingKeys).forEach(this::removed);
         }
     }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FollowedWatch.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FollowedWatch.java
@@ -96,7 +96,8 @@
         return Duration.ofMillis(isConfirmed() ? LONG_WAIT_MILLIS : SHORT_WAIT_MILLIS);
     }
 
-    private boolean isConfirmed() {
+    /** Whether the controller told lately how far it has read. */
+    synchronized boolean isConfirmed() {
         return isEverConfirmed && millisSince(confirmedNanos) < SILENCE_MILLIS;
     }
 
@@ -106,8 +107,12 @@
 
     @Override
     public synchronized boolean isOverdue(long revision, long startNanos) {
-        boolean isBehind = expectedRevision > revision && millisSince(expectedSinceNanos) >= LAG_MILLIS;
-        return isBehind || (!isConfirmed() && millisSince(startNanos) >= SILENCE_MILLIS);
+        return isBehind(revision) || (!isConfirmed() && millisSince(startNanos) >= SILENCE_MILLIS);
+    }
+
+    /** Whether the controller has read further than {@code revision}, and not just now. */
+    synchronized boolean isBehind(long revision) {
+        return expectedRevision > revision && millisSince(expectedSinceNanos) >= LAG_MILLIS;
     }
 
     @Override
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -5,6 +5,7 @@
 import org.daisyscale.core.keys.KeyAction;
 import org.daisyscale.core.keys.KeyController;
 import org.daisyscale.core.keys.KeyEvent;
+import org.daisyscale.core.peer.PeerMessage.OperatorUpdate;
 import org.daisyscale.core.serving.RequestRouter;
 import org.daisyscale.core.serving.ServingEvent;
 import org.daisyscale.router.internal.assembly.StopSignal;
@@ -23,6 +24,9 @@
 /** Puts the duties together and runs them until a stop is asked for. Used by one thread. */
 public final class ServingAssembly {
     private static final int RING_CAPACITY = 4_096;
+    /** Updates of what operators wrote that wait; each holds those before it. */
+    private static final int UPDATE_CAPACITY = 16;
+
     /** Bodies held at once, in bytes: a quarter of the memory that the smallest VM gives a router. */
     private static final long BODY_BUDGET_BYTES = 80L << 20;
     /** The balancer sends new connections for this long after readiness ends, in milliseconds: two checks. */
@@ -42,6 +46,7 @@
     private final CallerConnections connections = new CallerConnections();
     private final Ring<ServingEvent> servingEvents = new ArrayRing<>("decisions", RING_CAPACITY);
     private final Ring<KeyEvent> keyEvents = new ArrayRing<>("keys", RING_CAPACITY);
+    private final Ring<OperatorUpdate> operatorUpdates = new ArrayRing<>("operator-updates", UPDATE_CAPACITY);
     private final Ring<KeyAction> mapWork = new ArrayRing<>("key-maps", RING_CAPACITY);
 
     /** Creates the assembly; nothing runs yet. */
@@ -60,15 +65,18 @@
         EventLog.info("started", "router=" + settings.serving().routerId() + " settings=" + settings);
         try (HttpLoop loop = HttpLoop.start("calls");
                 ControllerLink controller = new ControllerLink(
-                        settings.serving().routerId(), settings.peers(), wait(servingEvents), wait(keyEvents))) {
+                        settings.serving().routerId(),
+                        settings.peers(),
+                        wait(servingEvents),
+                        wait(keyEvents),
+                        operatorUpdates)) {
             StoreClient store = new StoreClient(loop, settings.store(), dialect.store());
             LeaseDuty lease = new LeaseDuty(
                     store, settings.serving().routerId(), settings.peers(), wait(servingEvents), wait(keyEvents));
             Directory directory = new Directory(dialect.fleet(), wait(servingEvents), wait(keyEvents), readiness);
             try (DutyThread decisions = DutyThread.start("decisions", servingDuty(loop, controller)::runStep);
                     DutyThread keys = DutyThread.start("keys", keyDuty(loop, controller)::runStep);
-                    DutyThread operators = follow(
-                            store, dialect.fleet().operatorPrefix(), controller, directory.operators(), () -> {});
+                    DutyThread operators = followOperators(store, controller, directory.operators());
                     DutyThread servers =
                             follow(store, dialect.fleet().serverPrefix(), controller, directory.servers(), () -> {});
                     DutyThread routers = follow(
@@ -125,11 +133,24 @@
             ControllerLink controller,
             FleetWatchDuty.Listener listener,
             Runnable onCurrent) {
+        FollowedWatch guard = guard(prefix, controller, onCurrent);
+        FleetWatchDuty duty = new FleetWatchDuty(store, prefix, guard, GATHER_MILLIS, listener);
+        return DutyThread.start("watch-" + prefix, duty::runStep);
+    }
+
+    private DutyThread followOperators(StoreClient store, ControllerLink controller, OperatorBook book) {
+        String prefix = dialect.fleet().operatorPrefix();
+        FollowedWatch guard = guard(prefix, controller, () -> {});
+        OperatorWatchDuty duty =
+                new OperatorWatchDuty(store, prefix, guard, GATHER_MILLIS, operatorUpdates, book, controller::publish);
+        return DutyThread.start("watch-" + prefix, duty::runStep);
+    }
+
+    private FollowedWatch guard(String prefix, ControllerLink controller, Runnable onCurrent) {
         FollowedWatch guard = new FollowedWatch(prefix, controller::publish, onCurrent, System::nanoTime);
         controller.add(guard);
         metrics.viewAge(prefix, guard::ageMillis);
-        FleetWatchDuty duty = new FleetWatchDuty(store, prefix, guard, GATHER_MILLIS, listener);
-        return DutyThread.start("watch-" + prefix, duty::runStep);
+        return guard;
     }
 
     private void answerReadiness(Context context) {
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FleetWatchDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FleetWatchDutyTest.java
@@ -2,15 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
 import org.daisyscale.core.platform.CoordinationStore;
-import org.daisyscale.router.serving.StoreException;
 import org.junit.jupiter.api.Test;
 
 class FleetWatchDutyTest {
@@ -52,8 +47,8 @@
 
     @Test
     void shouldTellOfItemsAndOfTheirRemoval() throws InterruptedException {
-        store.listings.add(new CoordinationStore.Listing(List.of(item("servers/a", 4)), 5));
-        store.watches.add(Optional.of(removed("servers/a", 6)));
+        store.willList(new CoordinationStore.Listing(List.of(item("servers/a", 4)), 5));
+        store.willHear(Optional.of(removed("servers/a", 6)));
 
         duty.runStep();
         duty.runStep();
@@ -63,8 +58,8 @@
 
     @Test
     void shouldFollowTheOtherItemsWhenOneCannotBeTaken() throws InterruptedException {
-        store.listings.add(new CoordinationStore.Listing(List.of(item("servers/odd", 4), item("servers/a", 5)), 5));
-        store.watches.add(Optional.of(removed("servers/a", 6)));
+        store.willList(new CoordinationStore.Listing(List.of(item("servers/odd", 4), item("servers/a", 5)), 5));
+        store.willHear(Optional.of(removed("servers/a", 6)));
 
         duty.runStep();
         duty.runStep();
@@ -74,9 +69,9 @@
 
     @Test
     void shouldListAgainWhenTheHistoryIsGone() throws InterruptedException {
-        store.listings.add(new CoordinationStore.Listing(List.of(item("servers/a", 4)), 5));
-        store.watches.add(Optional.empty());
-        store.listings.add(new CoordinationStore.Listing(List.of(item("servers/b", 8)), 9));
+        store.willList(new CoordinationStore.Listing(List.of(item("servers/a", 4)), 5));
+        store.willHear(Optional.empty());
+        store.willList(new CoordinationStore.Listing(List.of(item("servers/b", 8)), 9));
 
         duty.runStep();
         duty.runStep();
@@ -87,9 +82,9 @@
 
     @Test
     void shouldListAgainWhenTheStoreMovedOnAndTheWatchHeardNothing() throws InterruptedException {
-        store.listings.add(new CoordinationStore.Listing(List.of(item("servers/a", 4)), 5));
-        store.watches.add(Optional.of(new CoordinationStore.Changes(List.of(), 8)));
-        store.listings.add(new CoordinationStore.Listing(List.of(item("servers/a", 7)), 9));
+        store.willList(new CoordinationStore.Listing(List.of(item("servers/a", 4)), 5));
+        store.willHear(Optional.of(new CoordinationStore.Changes(List.of(), 8)));
+        store.willList(new CoordinationStore.Listing(List.of(item("servers/a", 7)), 9));
 
         duty.runStep();
         duty.runStep();
@@ -100,8 +95,8 @@
 
     @Test
     void shouldListAgainWhenAWatchWasCut() throws InterruptedException {
-        store.listings.add(new CoordinationStore.Listing(List.of(item("servers/a", 4)), 5));
-        store.listings.add(new CoordinationStore.Listing(List.of(item("servers/a", 7)), 9));
+        store.willList(new CoordinationStore.Listing(List.of(item("servers/a", 4)), 5));
+        store.willList(new CoordinationStore.Listing(List.of(item("servers/a", 7)), 9));
 
         duty.runStep();
         duty.runStep();
@@ -112,10 +107,10 @@
 
     @Test
     void shouldGiveItemsThatLapsedInALongOutageTimeToReturn() throws InterruptedException {
-        store.listings.add(new CoordinationStore.Listing(List.of(item("servers/a", 4)), 5));
+        store.willList(new CoordinationStore.Listing(List.of(item("servers/a", 4)), 5));
         duty.runStep();
         runStepsFor(1_200);
-        store.listings.add(new CoordinationStore.Listing(List.of(), 20));
+        store.willList(new CoordinationStore.Listing(List.of(), 20));
 
         duty.runStep();
 
@@ -124,18 +119,18 @@
 
     @Test
     void shouldTellOfARemovalOnceTheTimeToReturnIsOver() throws InterruptedException {
-        store.listings.add(new CoordinationStore.Listing(List.of(item("servers/a", 4)), 5));
+        store.willList(new CoordinationStore.Listing(List.of(item("servers/a", 4)), 5));
         duty.runStep();
         runStepsFor(1_200);
-        store.listings.add(new CoordinationStore.Listing(List.of(item("servers/a", 4)), 20));
+        store.willList(new CoordinationStore.Listing(List.of(item("servers/a", 4)), 20));
         duty.runStep();
         Thread.sleep(1_500);
 
-        store.watches.add(Optional.of(removed("servers/a", 21)));
+        store.willHear(Optional.of(removed("servers/a", 21)));
         duty.runStep();
         assertThat(told).doesNotContain("removed servers/a");
         Thread.sleep(600);
-        store.watches.add(Optional.of(new CoordinationStore.Changes(List.of(), 21)));
+        store.willHear(Optional.of(new CoordinationStore.Changes(List.of(), 21)));
         duty.runStep();
 
         assertThat(told).contains("removed servers/a");
@@ -147,52 +142,4 @@
             duty.runStep();
         }
     }
-
-    /** Answers with what was put in, and is out of reach when there is nothing. */
-    private static final class ScriptedStore implements CoordinationStore {
-        private final Deque<Listing> listings = new ArrayDeque<>();
-        private final Deque<Optional<Changes>> watches = new ArrayDeque<>();
-
-        private static <T> T next(Deque<T> answers) {
-            if (answers.isEmpty()) {
-                throw new StoreException(StoreException.Code.UNREACHABLE, "out of reach", null);
-            }
-            return answers.remove();
-        }
-
-        @Override
-        public Optional<Item> get(String key) {
-            return Optional.empty();
-        }
-
-        @Override
-        public Listing list(String prefix) {
-            return next(listings);
-        }
-
-        @Override
-        public Optional<Changes> watch(String prefix, long afterRevision, Duration wait, BooleanSupplier isOverdue) {
-            return next(watches);
-        }
-
-        @Override
-        public WriteEnd write(Change change) {
-            throw new StoreException(StoreException.Code.UNREACHABLE, "out of reach", null);
-        }
-
-        @Override
-        public long grantLease(Duration timeToLive) {
-            return 1;
-        }
-
-        @Override
-        public boolean renewLease(long leaseId) {
-            return true;
-        }
-
-        @Override
-        public void endLease(long leaseId) {
-            // Nothing is bound to leases here.
-        }
-    }
 }
