--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
@@ -46,9 +46,9 @@
     private final Map<String, RouterEntry> routerById = new HashMap<>();
     private final Map<String, KeyMap> publishedByService = new HashMap<>();
     private final Set<String> connected = new HashSet<>();
-    private PeerNetwork network;
+    private volatile PeerNetwork network;
     private DutyThread reader;
-    private RouterEntry controller;
+    private volatile RouterEntry controller;
     private OperatorUpdate published;
 
     ControllerLink(
@@ -137,7 +137,8 @@
         network.know(new Action.KnowPeer(controller.routerId(), controller.host(), controller.port()));
     }
 
-    private boolean isController() {
+    /** Whether this router controls the keys, as far as it knows. */
+    synchronized boolean isController() {
         return isControlledBy(routerId);
     }
 
@@ -146,12 +147,17 @@
         return controller != null && (isController() || connected.contains(controller.routerId()));
     }
 
-    /** Tells the controller of {@code load}. */
-    synchronized void report(KeyLoad load) {
-        if (isController()) {
+    /** Tells the controller of {@code load}. Takes no lock: those who hold it may wait for the decisions' ring. */
+    void report(KeyLoad load) {
+        RouterEntry receiver = controller;
+        PeerNetwork link = network;
+        if (receiver == null) {
+            return;
+        }
+        if (receiver.routerId().equals(routerId)) {
             keyEvents.accept(new KeyEvent.LoadReported(load));
-        } else if (controller != null && network != null) {
-            network.send(new Action.SendPeer(controller.routerId(), new PeerMessage.KeyLoadReport(load)));
+        } else if (link != null) {
+            link.send(new Action.SendPeer(receiver.routerId(), new PeerMessage.KeyLoadReport(load)));
         }
     }
 
