--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FollowedWatch.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FollowedWatch.java
@@ -1,6 +1,7 @@
 package org.daisyscale.router.internal.serving;
 
 import java.time.Duration;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.daisyscale.core.peer.PeerMessage.StoreProgress;
@@ -15,18 +16,21 @@
 final class FollowedWatch implements WatchGuard {
     /** The wait of a watch that nobody confirms, in milliseconds. */
     static final long SHORT_WAIT_MILLIS = 900;
+    /** The wait of the controller's watches, in milliseconds: two of them fit into the time it may be silent. */
+    static final long CONTROLLER_WAIT_MILLIS = 400;
     /** How long a watch may go unconfirmed, in milliseconds: with two reads after it, below 2 s. */
     static final long SILENCE_MILLIS = 1_200;
     /** The wait of a watch that is confirmed, in milliseconds; the store allows 30 s. */
     static final long LONG_WAIT_MILLIS = 20_000;
     /** How far a watch may lie behind the controller's, in milliseconds: over the way between two data centres. */
-    static final long LAG_MILLIS = 100;
+    static final long LAG_MILLIS = 250;
 
     /** A view that is older may miss what had to be in force by now, in milliseconds; by the pages. */
     private static final long OLD_MILLIS = 2_000;
 
     private final String prefix;
     private final Consumer<StoreProgress> publisher;
+    private final BooleanSupplier isController;
     private final Runnable onCurrent;
     private final LongSupplier clockNanos;
     private long reachedRevision = -1;
@@ -41,9 +45,15 @@
      * Creates the guard of {@code prefix}; {@code publisher} gets what this router's own watch reached, and
      * {@code onCurrent} runs whenever nothing was missing from what it heard.
      */
-    FollowedWatch(String prefix, Consumer<StoreProgress> publisher, Runnable onCurrent, LongSupplier clockNanos) {
+    FollowedWatch(
+            String prefix,
+            Consumer<StoreProgress> publisher,
+            BooleanSupplier isController,
+            Runnable onCurrent,
+            LongSupplier clockNanos) {
         this.prefix = prefix;
         this.publisher = publisher;
+        this.isController = isController;
         this.onCurrent = onCurrent;
         this.clockNanos = clockNanos;
         this.currentNanos = clockNanos.getAsLong();
@@ -92,7 +102,10 @@
     }
 
     @Override
-    public synchronized Duration nextWait() {
+    public Duration nextWait() {
+        if (isController.getAsBoolean()) {
+            return Duration.ofMillis(CONTROLLER_WAIT_MILLIS);
+        }
         return Duration.ofMillis(isConfirmed() ? LONG_WAIT_MILLIS : SHORT_WAIT_MILLIS);
     }
 
@@ -107,7 +120,8 @@
 
     @Override
     public synchronized boolean isOverdue(long revision, long startNanos) {
-        return isBehind(revision) || (!isConfirmed() && millisSince(startNanos) >= SILENCE_MILLIS);
+        boolean hadTime = millisSince(startNanos) >= LAG_MILLIS;
+        return (hadTime && isBehind(revision)) || (!isConfirmed() && millisSince(startNanos) >= SILENCE_MILLIS);
     }
 
     /** Whether the controller has read further than {@code revision}, and not just now. */
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -147,7 +147,8 @@
     }
 
     private FollowedWatch guard(String prefix, ControllerLink controller, Runnable onCurrent) {
-        FollowedWatch guard = new FollowedWatch(prefix, controller::publish, onCurrent, System::nanoTime);
+        FollowedWatch guard =
+                new FollowedWatch(prefix, controller::publish, controller::isController, onCurrent, System::nanoTime);
         controller.add(guard);
         metrics.viewAge(prefix, guard::ageMillis);
         return guard;
