--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/assembly/RouterAssemblyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/assembly/RouterAssemblyTest.java
@@ -14,6 +14,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.UnaryOperator;
 import org.daisyscale.core.Action;
 import org.daisyscale.core.Event;
 import org.junit.jupiter.api.Test;
@@ -100,6 +102,25 @@
         }
     }
 
+    @Test
+    void shouldNeverShowAnAnswerWhoseHeadBreaksOffAsWhole() throws Exception {
+        String beforeCut = "HTTP/1.1 200 OK\r\nconnection: close\r\n";
+        AtomicInteger extraLength = new AtomicInteger();
+        UnaryOperator<String> cutHead = orderId -> beforeCut
+                + ("Daisyscale-Order-Id: " + orderId + "\r\ncontent-length: 4\r\n").substring(0, extraLength.get());
+        try (RawBackend backend = new RawBackend(cutHead);
+                RunningRouter router = new RunningRouter(RunningRouter.forwardingTo(backend.port()))) {
+            for (int length = 0;
+                    length <= "Daisyscale-Order-Id: ".length() + "content-length: 4\r\n".length();
+                    length++) {
+                extraLength.set(length);
+                HttpResponse<byte[]> answer = router.get("/job/one");
+
+                assertThat(answer.statusCode()).as("cut after " + length).isEqualTo(504);
+            }
+        }
+    }
+
     @Test
     void shouldCallALostConnectionUnknown() throws Exception {
         try (RawBackend backend = new RawBackend(orderId -> RawBackend.HANG_UP);
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/HttpLoopTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/HttpLoopTest.java
@@ -127,6 +127,21 @@
         assertThat(end(ends).failure()).isEqualTo(Failure.SPOILED);
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 2\r\n", "", "Transfer-Encoding: chunked\r\n"})
+    void shouldTakeNoAnswerWhoseHeadBreaksOffAnywhere(String framing) throws Exception {
+        String head = "HTTP/1.1 200 OK\r\nId: a\r\n" + framing + "\r\n";
+        for (int length = 1; length < head.length(); length++) {
+            BlockingQueue<End> ends = call("a", 2_000);
+            try (Socket socket = listener.accept()) {
+                readRequest(socket);
+                write(socket, head.substring(0, length));
+            }
+
+            assertThat(end(ends).isAnswered()).as("cut after " + length).isFalse();
+        }
+    }
+
     @Test
     void shouldCallAnAnswerWithoutLengthSpoiledWhenItsConnectionIsReset() throws Exception {
         BlockingQueue<End> ends = call("a", 2_000);
