--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingHandler.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingHandler.java
@@ -65,7 +65,7 @@
         }
         context.getExecution().onComplete(reservation);
         if (connections.isRefusing()) {
-            respond(context, turn, refused(requestId, CoreErrorCode.STOPPING, "another router is ready"));
+            respond(context, turn, stopping(requestId));
             return;
         }
         long maxBodyBytes = exchanges.maxBodyBytes();
@@ -85,6 +85,9 @@
     }
 
     private Promise<Exchange.Outcome> decide(Request request, long requestId, byte[] body, Channel channel) {
+        if (connections.isRefusing()) {
+            return Promise.value(stopping(requestId));
+        }
         ChannelFutureListener onGone = closed -> left(requestId);
         return Promise.<Exchange.Outcome>async(downstream -> {
                     Exchange exchange = exchange(request, requestId, body, downstream::success);
@@ -118,6 +121,10 @@
         }
     }
 
+    private static Exchange.Outcome stopping(long requestId) {
+        return refused(requestId, CoreErrorCode.STOPPING, "another router is ready");
+    }
+
     private static Exchange.Outcome refused(long requestId, CoreErrorCode reason, String detail) {
         return new Exchange.Outcome.Refused(new ServingAction.Refuse(requestId, reason, detail, SOON_MILLIS));
     }
