--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorWatchDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorWatchDuty.java
@@ -13,7 +13,8 @@
 /**
  * Follows what operators write. A configuration is large and the store answers with each of its versions whole, so only
  * the controller watches it there and tells the others what changed. A router reads the store when the controller is
- * silent, when it has read further, and when its update doesn't fit what is known here. One step is for one thread.
+ * silent, when it has read further, and when its update doesn't fit what is known here. While changes come faster than
+ * they are read, the prefix is listed, as a list has the newest version only. One step is for one thread.
  */
 final class OperatorWatchDuty {
     /** The first and the longest pause after a failed call, in milliseconds. */
@@ -22,8 +23,6 @@
     private static final long MAX_PAUSE_MILLIS = 400;
     /** How often a router looks whether the controller has read further, in milliseconds. */
     private static final long LOOK_MILLIS = 100;
-    /** More versions in one answer show that they come faster than they are read: a list has the newest only. */
-    private static final int MAX_CHANGES_AT_ONCE = 4;
 
     private final CoordinationStore store;
     private final String prefix;
@@ -37,6 +36,7 @@
     private long revision;
     private long lastChangeRevision;
     private boolean isListed;
+    private boolean isQuick;
 
     /**
      * Creates the duty.
@@ -92,7 +92,7 @@
     }
 
     private void readStore() throws InterruptedException {
-        if (isListed) {
+        if (isListed && !isQuick) {
             watch();
         } else {
             list();
@@ -108,11 +108,13 @@
         contact.answered(revision);
         book.listed(listing.items());
         isListed = true;
+        long before = lastChangeRevision;
         long newest = listing.items().stream()
                 .mapToLong(CoordinationStore.Item::revision)
                 .max()
                 .orElse(0);
         reached(listing.revision(), newest);
+        isQuick = isQuick && lastChangeRevision > before;
     }
 
     private void watch() {
@@ -139,7 +141,7 @@
 
     private void apply(Changes changes) {
         book.changed(changes.changes());
-        isListed = changes.changes().size() <= MAX_CHANGES_AT_ONCE;
+        isQuick = changes.changes().size() > 1;
         long newest = changes.changes().get(changes.changes().size() - 1).revision();
         reached(Math.max(newest, changes.revision()), newest);
     }
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/OperatorWatchDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/OperatorWatchDutyTest.java
@@ -158,6 +158,22 @@
         assertThat(versionsTold()).containsExactly(1L, 3L);
     }
 
+    @Test
+    void shouldListUntilNothingNewComesAfterSeveralVersionsCameAtOnce() throws InterruptedException {
+        readVersionOne();
+        store.willHear(Optional.of(new Changes(List.of(change(configuration(2, 7)), change(configuration(3, 8))), 8)));
+        duty.runStep();
+        store.willList(new Listing(List.of(configuration(6, 12)), 12));
+        store.willList(new Listing(List.of(configuration(6, 12)), 12));
+        store.willHear(Optional.of(new Changes(List.of(change(configuration(7, 14))), 14)));
+
+        duty.runStep();
+        duty.runStep();
+        duty.runStep();
+
+        assertThat(versionsTold()).containsExactly(1L, 3L, 6L, 7L);
+    }
+
     @Test
     void shouldTellTheOtherRoutersWhatChanged() throws InterruptedException {
         readVersionOne();
