--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LeasedKeyController.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LeasedKeyController.java
@@ -22,6 +22,7 @@
     private final CallNumbers callNumbers = new CallNumbers();
     private final OwnerWatch owners;
     private final Map<String, ServiceKeys> keysByService = new TreeMap<>();
+    private boolean isLeaseHeld;
     private boolean isLeading;
     private boolean isInDoubt;
     private long validUntilNanos;
@@ -33,12 +34,16 @@
     }
 
     @Override
-    public List<KeyAction> handle(KeyEvent event, long nowNanos) {
+    public List<KeyAction> handle(List<KeyEvent> events, long nowNanos) {
         List<KeyAction> actions = new ArrayList<>();
-        if (!takeLeaseEvent(event, actions, nowNanos) && !takeMapEvent(event)) {
-            takeOther(event, nowNanos);
+        boolean isStepDue = nowNanos - nextStepNanos >= 0;
+        for (KeyEvent event : events) {
+            if (!takeLeaseEvent(event, actions, nowNanos) && !takeMapEvent(event)) {
+                takeOther(event, nowNanos);
+            }
+            isStepDue |= !(event instanceof KeyEvent.LoadReported);
         }
-        if (!(event instanceof KeyEvent.LoadReported) || nowNanos - nextStepNanos >= 0) {
+        if (isStepDue) {
             step(actions, nowNanos);
         }
         return actions;
@@ -48,8 +53,10 @@
         if (event instanceof KeyEvent.LeaseRenewed renewed) {
             validUntilNanos = renewed.validUntilNanos();
             isInDoubt = false;
-            if (!isLeading) {
+            if (!isLeaseHeld) {
                 lead(actions, nowNanos);
+            } else if (!isLeading) {
+                resume(actions);
             }
         } else if (event instanceof KeyEvent.LeaseInDoubt) {
             if (isLeading && !isInDoubt) {
@@ -58,13 +65,21 @@
             }
         } else if (event instanceof KeyEvent.LeaseLost) {
             isLeading = false;
+            isLeaseHeld = false;
         } else {
             return false;
         }
         return true;
     }
 
+    /** The lease never ended, this router only heard late of its renewal: nobody else can have changed anything. */
+    private void resume(List<KeyAction> actions) {
+        isLeading = true;
+        actions.add(new KeyAction.Report("keys-resumed", "the renewal was heard of late"));
+    }
+
     private void lead(List<KeyAction> actions, long nowNanos) {
+        isLeaseHeld = true;
         isLeading = true;
         owners.start(nowNanos);
         keysByService.forEach((service, keys) -> {
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LoadBook.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LoadBook.java
@@ -30,15 +30,23 @@
     /** What all keys of a service together add to its rate, in requests a second: only breaks ties. */
     private static final double ALL_KEYS_RATE = 1;
 
-    private final double[] countByKey = new double[KeyMap.KEY_COUNT];
+    /** Counts are scaled down once they have grown by this factor, before they leave the range of a double. */
+    private static final double MAX_GROWTH = 1e100;
+
+    /** Requests by key, each weighted by how much older ones have faded when it came. */
+    private final double[] grownByKey = new double[KeyMap.KEY_COUNT];
+
     private final Map<String, MeanMillis> serviceMillisByServer = new HashMap<>();
     private long fadedNanos;
     private long startedNanos;
     private boolean isStarted;
+    private double growth = 1;
 
     void add(KeyLoad load, long nowNanos) {
         fade(nowNanos);
-        load.keys().stream().filter(key -> 0 <= key && key < KeyMap.KEY_COUNT).forEach(key -> countByKey[key]++);
+        load.keys().stream()
+                .filter(key -> 0 <= key && key < KeyMap.KEY_COUNT)
+                .forEach(key -> grownByKey[key] += growth);
         load.serviceMillisByServer()
                 .forEach((server, millis) -> serviceMillisByServer
                         .computeIfAbsent(server, id -> new MeanMillis(meanServiceMillis()))
@@ -51,11 +59,18 @@
             startedNanos = nowNanos;
             fadedNanos = nowNanos;
         }
-        double factor = Math.exp(-(nowNanos - fadedNanos) / 1e6 / FADE_MILLIS);
+        growth *= Math.exp((nowNanos - fadedNanos) / 1e6 / FADE_MILLIS);
         fadedNanos = nowNanos;
+        if (growth > MAX_GROWTH) {
+            scaleDown();
+        }
+    }
+
+    private void scaleDown() {
         for (int key = 0; key < KeyMap.KEY_COUNT; key++) {
-            countByKey[key] *= factor;
+            grownByKey[key] /= growth;
         }
+        growth = 1;
     }
 
     /** The time that the load stands for, in seconds; short at first, since nothing has faded yet. */
@@ -66,7 +81,7 @@
 
     /** The requests a second for {@code key}. */
     double rate(int key) {
-        return countByKey[key] / windowSeconds();
+        return grownByKey[key] / growth / windowSeconds();
     }
 
     /** The requests a second for {@code key}, and a little for the key itself, so that idle keys spread too. */
@@ -83,9 +98,9 @@
     double rate(int firstKey, int lastKey) {
         double sum = 0;
         for (int key = firstKey; key <= lastKey; key++) {
-            sum += countByKey[key];
+            sum += grownByKey[key];
         }
-        return sum / windowSeconds();
+        return sum / growth / windowSeconds();
     }
 
     double rate(KeyAssignment assignment) {
@@ -96,7 +111,7 @@
     int hottest(KeyAssignment assignment) {
         int hottest = assignment.firstKey();
         for (int key = assignment.firstKey() + 1; key <= assignment.lastKey(); key++) {
-            hottest = countByKey[key] > countByKey[hottest] ? key : hottest;
+            hottest = grownByKey[key] > grownByKey[hottest] ? key : hottest;
         }
         return hottest;
     }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServiceKeys.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServiceKeys.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.daisyscale.core.keys.KeyAction;
 import org.daisyscale.core.keys.KeyLoad;
 import org.daisyscale.core.serving.BackendServer;
@@ -131,8 +133,9 @@
             });
         }
         if (map != null) {
+            Set<RangeFence> kept = RangeFence.allOf(written == null ? map : written);
             map.assignments().stream()
-                    .filter(this::isKept)
+                    .filter(assignment -> kept.contains(RangeFence.of(assignment)))
                     .forEach(assignment -> calls.act(assignment, holdMillis, actions, nowNanos));
             publish(actions);
         }
@@ -152,15 +155,6 @@
         }
     }
 
-    /** Whether the write that is under way, if any, leaves the owner of the range as it is. */
-    private boolean isKept(KeyAssignment assignment) {
-        return written == null
-                || written.assignments().stream()
-                        .anyMatch(other -> other.firstKey() == assignment.firstKey()
-                                && other.lastKey() == assignment.lastKey()
-                                && other.fence() == assignment.fence());
-    }
-
     private Optional<KeyMap> plan(long nowNanos) {
         List<BackendServer> usable = roster.usable(service);
         if (map == null) {
@@ -206,4 +200,16 @@
         }
         return new KeyMap(service, 1, 0, servers.size() + 1 + FenceBlock.SIZE, assignments);
     }
+
+    /** A range under a fence: a write that keeps it leaves its owner as it is. Immutable. */
+    private record RangeFence(int firstKey, int lastKey, long fence) {
+
+        static RangeFence of(KeyAssignment assignment) {
+            return new RangeFence(assignment.firstKey(), assignment.lastKey(), assignment.fence());
+        }
+
+        static Set<RangeFence> allOf(KeyMap map) {
+            return map.assignments().stream().map(RangeFence::of).collect(Collectors.toSet());
+        }
+    }
 }
