--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/peer/PeerLink.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/peer/PeerLink.java
@@ -29,6 +29,7 @@
     private final PeerDialer dialer;
     private final PeerPipelines pipelines;
     private final PeerCodec codec;
+    private final FrameEncoder encoder;
     private final PeerSettings settings;
     private final Consumer<Event> events;
     private final PeerOutbox outbox;
@@ -48,6 +49,7 @@
             PeerDialer dialer,
             PeerPipelines pipelines,
             PeerCodec codec,
+            FrameEncoder encoder,
             PeerSettings settings,
             Consumer<Event> events) {
         this.peer = peer;
@@ -55,6 +57,7 @@
         this.dialer = dialer;
         this.pipelines = pipelines;
         this.codec = codec;
+        this.encoder = encoder;
         this.settings = settings;
         this.events = events;
         this.outbox = new PeerOutbox(settings.outboxLimit());
@@ -158,7 +161,7 @@
 
     private void write(Channel channel, PeerMessage message) {
         try {
-            byte[] bytes = codec.encode(message);
+            byte[] bytes = encoder.encode(message);
             if (bytes.length > settings.maxFrameBytes()) {
                 String detail = "%s of %d bytes".formatted(message.getClass().getSimpleName(), bytes.length);
                 throw new PeerException(PeerErrorCode.BAD_FRAME, detail, null);
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/peer/PeerNetwork.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/peer/PeerNetwork.java
@@ -37,6 +37,7 @@
 
     private final PeerSettings settings;
     private final PeerCodec codec;
+    private final FrameEncoder encoder;
     private final Ring<Event> events;
     private final PeerPipelines pipelines;
     private final EventLoopGroup group;
@@ -49,6 +50,7 @@
     private PeerNetwork(PeerSettings settings, PeerSecret secret, PeerCodec codec, Ring<Event> events) {
         this.settings = settings;
         this.codec = codec;
+        this.encoder = new FrameEncoder(codec);
         this.events = events;
         this.pipelines = new PeerPipelines(settings);
         this.group = new NioEventLoopGroup(1, this::newThread);
@@ -136,7 +138,7 @@
 
     private PeerLink link(String peer) {
         return linkByPeer.computeIfAbsent(
-                peer, id -> new PeerLink(id, loop, dialer, pipelines, codec, settings, this::emit));
+                peer, id -> new PeerLink(id, loop, dialer, pipelines, codec, encoder, settings, this::emit));
     }
 
     private void emit(Event event) {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
@@ -44,7 +44,7 @@
     private final Ring<Event> peerEvents = new ArrayRing<>("peer-events", RING_CAPACITY);
     private final List<FollowedWatch> followed = new ArrayList<>();
     private final Map<String, RouterEntry> routerById = new HashMap<>();
-    private final Map<String, KeyMap> publishedByService = new HashMap<>();
+    private final Map<String, PeerMessage.KeyMapUpdate> publishedByService = new HashMap<>();
     private final Set<String> connected = new HashSet<>();
     private volatile PeerNetwork network;
     private DutyThread reader;
@@ -72,7 +72,7 @@
     /** The controller tells all routers how far it has read the store; other routers tell nobody. */
     synchronized void publish(PeerMessage.StoreProgress progress) {
         if (isController()) {
-            connected.forEach(peer -> network.send(new Action.SendPeer(peer, progress)));
+            connected.forEach(peer -> send(peer, progress));
         }
     }
 
@@ -80,7 +80,7 @@
     synchronized void publish(OperatorUpdate update) {
         if (isController() && !update.equals(published)) {
             published = update;
-            connected.forEach(peer -> network.send(new Action.SendPeer(peer, update)));
+            connected.forEach(peer -> send(peer, update));
         }
     }
 
@@ -163,13 +163,14 @@
 
     /** Tells all routers of {@code map}, this one too. */
     synchronized void publish(KeyMap map) {
-        publishedByService.put(map.service(), map);
+        PeerMessage.KeyMapUpdate update = new PeerMessage.KeyMapUpdate(map);
+        publishedByService.put(map.service(), update);
         servingEvents.accept(new ServingEvent.KeyMapChanged(map));
-        connected.forEach(peer -> send(peer, map));
+        connected.forEach(peer -> send(peer, update));
     }
 
-    private void send(String peer, KeyMap map) {
-        network.send(new Action.SendPeer(peer, new PeerMessage.KeyMapUpdate(map)));
+    private void send(String peer, PeerMessage message) {
+        network.send(new Action.SendPeer(peer, message));
     }
 
     private void readStep() throws InterruptedException {
@@ -181,8 +182,7 @@
             connected.add(up.peer());
             EventLog.info("peer-connected", "peer=" + up.peer());
             if (isController()) {
-                Optional.ofNullable(published)
-                        .ifPresent(update -> network.send(new Action.SendPeer(up.peer(), update)));
+                Optional.ofNullable(published).ifPresent(update -> send(up.peer(), update));
                 publishedByService.values().forEach(map -> send(up.peer(), map));
             }
         } else if (event instanceof Event.PeerDisconnected down) {
