--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/DirectRequestRouter.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/DirectRequestRouter.java
@@ -24,7 +24,7 @@
     @Override
     public List<ServingAction> handle(ServingEvent event, long nowNanos) {
         if (event instanceof ServingEvent.RequestArrived arrived) {
-            desk.arrived(arrived.requestId(), arrived.head(), nowNanos);
+            desk.arrived(arrived, nowNanos);
         } else if (event instanceof ServingEvent.AttemptEnded ended) {
             desk.attemptEnded(ended, nowNanos);
         } else if (event instanceof ServingEvent.CallerLeft left) {
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestDesk.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestDesk.java
@@ -31,6 +31,10 @@
     private static final long START_MILLIS = 500;
     /** The share of its objective that a request may wait for a place. */
     private static final double PATIENCE_PART = 0.5;
+    /** Callers give up a request that nobody read after this time, in milliseconds; by the pages. */
+    private static final double MAX_UNREAD_MILLIS = 1_000;
+    /** And after this part of the time that they have; by the pages. */
+    private static final double UNREAD_PART = 1.0 / 3;
     /** Callers that are sent away together come back spread over this, in milliseconds. */
     private static final long RETURN_SPREAD_MILLIS = 150;
 
@@ -71,7 +75,9 @@
         actions.add(new ServingAction.Report("configuration-in-force", detail));
     }
 
-    void arrived(long requestId, RequestHead head, long nowNanos) {
+    void arrived(ServingEvent.RequestArrived arrived, long nowNanos) {
+        long requestId = arrived.requestId();
+        RequestHead head = arrived.head();
         if (!fleet.hasTable()) {
             refuse(requestId, CoreErrorCode.NOT_READY, "no configuration yet", START_MILLIS);
             return;
@@ -81,11 +87,26 @@
             refuse(requestId, CoreErrorCode.NO_ROUTE, "host=" + head.host() + " path=" + head.path(), 0);
             return;
         }
+        long waitedMillis = Math.max(0, (nowNanos - arrived.cameNanos()) / 1_000_000L);
+        if (waitedMillis >= unreadMillis(head)) {
+            String detail = "the router is behind: decided on %d ms after it came".formatted(waitedMillis);
+            refuse(requestId, CoreErrorCode.OVERLOADED, detail, RETURN_SPREAD_MILLIS);
+            return;
+        }
         open(requestId, head, route.get(), nowNanos);
     }
 
+    private static long callerMillis(RequestHead head) {
+        return head.timeLeftMillis() > 0 ? head.timeLeftMillis() : DEFAULT_TIME_LEFT_MILLIS;
+    }
+
+    /** After how long callers give up a request that isn't read, in milliseconds. */
+    private static double unreadMillis(RequestHead head) {
+        return Math.min(MAX_UNREAD_MILLIS, callerMillis(head) * UNREAD_PART);
+    }
+
     private void open(long requestId, RequestHead head, Route route, long nowNanos) {
-        long callerMillis = head.timeLeftMillis() > 0 ? head.timeLeftMillis() : DEFAULT_TIME_LEFT_MILLIS;
+        long callerMillis = callerMillis(head);
         long millis = Math.min(callerMillis - REPLY_MARGIN_MILLIS, route.timeoutMillis());
         String service = splitter.next(route);
         OpenRequest request =
--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/RequestRouter.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/RequestRouter.java
@@ -10,7 +10,7 @@
  *
  * <pre>{@code
  * RequestRouter router = RequestRouter.create(settings);
- * List<ServingAction> actions = router.handle(new ServingEvent.RequestArrived(1, head), System.nanoTime());
+ * List<ServingAction> actions = router.handle(new ServingEvent.RequestArrived(1, head, cameNanos), System.nanoTime());
  * }</pre>
  */
 public interface RequestRouter {
--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingEvent.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingEvent.java
@@ -12,8 +12,10 @@
      *
      * @param requestId the router's own number of the request
      * @param head what decides on it
+     * @param cameNanos when its last byte had come at the latest, by the monotonic clock: a router that is behind reads
+     *     it later
      */
-    record RequestArrived(long requestId, RequestHead head) implements ServingEvent {}
+    record RequestArrived(long requestId, RequestHead head, long cameNanos) implements ServingEvent {}
 
     /** The caller of {@code requestId} closed its connection. */
     record CallerLeft(long requestId) implements ServingEvent {}
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/FleetReplay.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/FleetReplay.java
@@ -226,7 +226,7 @@
         long leftMillis = (long) (TIME_LEFT_MILLIS - (time.nowMillis() - caller.startMillis()));
         int router = random.nextInt(routers.size());
         RequestHead head = new RequestHead("h", "/x", Math.max(1, leftMillis), caller.key(), 0, "");
-        tell(router, new ServingEvent.RequestArrived(requestId, head));
+        tell(router, new ServingEvent.RequestArrived(requestId, head, time.nowNanos()));
     }
 
     /** Callers ask {@code perSecond} times a second until {@code endMillis}, with keys of {@code keys}. */
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/ColdServerShareTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/ColdServerShareTest.java
@@ -69,7 +69,10 @@
         RequestHead head = new RequestHead("h", "/x", 1_500, RequestHead.NO_KEY, 0, "id");
         long requestId = ++nextRequestId;
         boolean isSent =
-                routerById.get(routerId).handle(new ServingEvent.RequestArrived(requestId, head), nowNanos).stream()
+                routerById
+                        .get(routerId)
+                        .handle(new ServingEvent.RequestArrived(requestId, head, nowNanos), nowNanos)
+                        .stream()
                         .anyMatch(ServingAction.SendAttempt.class::isInstance);
         tell(routerId, new ServingEvent.AttemptEnded(requestId, 1, AttemptOutcome.ANSWERED, Optional.empty()));
         return isSent;
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/RequestRouterTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/RequestRouterTest.java
@@ -71,7 +71,8 @@
     }
 
     private List<ServingAction> ask(long requestId, String path, int key) {
-        return tell(new ServingEvent.RequestArrived(requestId, new RequestHead("h", path, 1_500, key, 0, "id")));
+        RequestHead head = new RequestHead("h", path, 1_500, key, 0, "id");
+        return tell(new ServingEvent.RequestArrived(requestId, head, nowNanos));
     }
 
     private List<ServingAction> ask(long requestId, String path) {
@@ -103,6 +104,19 @@
         assertThat(refused(ask(1, "/pay/1"))).isEqualTo(CoreErrorCode.NOT_READY);
     }
 
+    @Test
+    void shouldRefuseARequestThatItDecidesOnOnlyAfterItsCallerGaveItUp() {
+        useOneTable();
+        addServers("s1");
+        RequestHead head = new RequestHead("h", "/pay/1", 1_500, RequestHead.NO_KEY, 0, "id");
+
+        List<ServingAction> inTime = tell(new ServingEvent.RequestArrived(1, head, nowNanos - 499 * MILLI));
+        List<ServingAction> late = tell(new ServingEvent.RequestArrived(2, head, nowNanos - 500 * MILLI));
+
+        assertThat(sent(inTime).server().id()).isEqualTo("s1");
+        assertThat(refused(late)).isEqualTo(CoreErrorCode.OVERLOADED);
+    }
+
     @Test
     void shouldRefuseAPathWithoutARoute() {
         useOneTable();
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingHandler.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingHandler.java
@@ -32,6 +32,7 @@
     private final CallerConnections connections;
     private final ByteBudget budget;
     private final ServingMetrics metrics;
+    private final LoopLags lags = new LoopLags();
     private final AtomicLong lastRequestId = new AtomicLong();
 
     ServingHandler(
@@ -88,12 +89,13 @@
         if (connections.isRefusing()) {
             return Promise.value(stopping(requestId));
         }
+        long cameNanos = System.nanoTime() - lags.of(channel.eventLoop()).behindNanos();
         ChannelFutureListener onGone = closed -> left(requestId);
         return Promise.<Exchange.Outcome>async(downstream -> {
                     Exchange exchange = exchange(request, requestId, body, downstream::success);
                     exchanges.add(exchange);
                     channel.closeFuture().addListener(onGone);
-                    if (!events.offer(new ServingEvent.RequestArrived(requestId, exchange.head()))) {
+                    if (!events.offer(new ServingEvent.RequestArrived(requestId, exchange.head(), cameNanos))) {
                         metrics.ringFull(events.name());
                         exchanges.remove(requestId);
                         exchange.end(refused(requestId, CoreErrorCode.OVERLOADED, "the router's queue is full"));
