--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LeasedKeyController.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LeasedKeyController.java
@@ -34,16 +34,12 @@
     }
 
     @Override
-    public List<KeyAction> handle(List<KeyEvent> events, long nowNanos) {
+    public List<KeyAction> handle(KeyEvent event, long nowNanos) {
         List<KeyAction> actions = new ArrayList<>();
-        boolean isStepDue = nowNanos - nextStepNanos >= 0;
-        for (KeyEvent event : events) {
-            if (!takeLeaseEvent(event, actions, nowNanos) && !takeMapEvent(event)) {
-                takeOther(event, nowNanos);
-            }
-            isStepDue |= !(event instanceof KeyEvent.LoadReported);
+        if (!takeLeaseEvent(event, actions, nowNanos) && !takeMapEvent(event)) {
+            takeOther(event, nowNanos);
         }
-        if (isStepDue) {
+        if (!(event instanceof KeyEvent.LoadReported) || nowNanos - nextStepNanos >= 0) {
             step(actions, nowNanos);
         }
         return actions;
--- a/daisyscale-core/src/main/java/org/daisyscale/core/keys/KeyController.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/keys/KeyController.java
@@ -15,16 +15,8 @@
  */
 public interface KeyController {
 
-    /**
-     * Takes all of {@code events}, in their order, and then decides once, at {@code nowNanos} of the monotonic clock:
-     * both the work for a decision and the number of events grow with the number of ranges.
-     */
-    List<KeyAction> handle(List<KeyEvent> events, long nowNanos);
-
-    /** Decides on {@code event} alone. */
-    default List<KeyAction> handle(KeyEvent event, long nowNanos) {
-        return handle(List.of(event), nowNanos);
-    }
+    /** Decides on {@code event} at {@code nowNanos} of the monotonic clock. */
+    List<KeyAction> handle(KeyEvent event, long nowNanos);
 
     /** When {@link KeyEvent.TimePassed} is due next, in nanoseconds. */
     long nextDueNanos();
--- a/daisyscale-core/src/test/java/org/daisyscale/core/keys/KeyControllerTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/keys/KeyControllerTest.java
@@ -280,23 +280,6 @@
         assertThat(tell(new KeyEvent.LeaseRenewed(nowNanos + 60_000 * MILLI))).contains(new KeyAction.ReadMap("stock"));
     }
 
-    @Test
-    void shouldDecideOnceOnAllEventsThatCameTogether() {
-        leadWithTwoOwners();
-        KeyMap moved = drainOwner();
-        List<KeyEvent> releases = of(KeyAction.SendRelease.class, tell(new KeyEvent.MapWritten(moved, 32))).stream()
-                .map(release -> (KeyEvent) new KeyEvent.Released(release.callId(), "token"))
-                .toList();
-        List<KeyEvent> taken = grants(controller.handle(releases, nowNanos)).stream()
-                .map(grant -> (KeyEvent) new KeyEvent.GrantTaken(grant.callId()))
-                .toList();
-        assertThat(taken).hasSizeGreaterThan(0);
-
-        List<KeyAction> actions = controller.handle(taken, nowNanos);
-
-        assertThat(of(KeyAction.PublishMap.class, actions)).hasSize(1);
-    }
-
     @Test
     void shouldGiveTheLongestHoldsWhileItsLeaseIsInDoubt() {
         leadWithTwoOwners();
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/KeyDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/KeyDuty.java
@@ -1,8 +1,6 @@
 package org.daisyscale.router.internal.serving;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.function.Consumer;
 import org.daisyscale.core.keys.KeyAction;
 import org.daisyscale.core.keys.KeyController;
@@ -22,9 +20,6 @@
     /** The time for a release's answer, in milliseconds: a server first ends the work on the keys. */
     private static final long RELEASE_MILLIS = 1_500;
 
-    /** The most events that one decision takes: with more waiting, due calls still go out in time. */
-    private static final int MAX_BATCH = 256;
-
     private final KeyController controller;
     private final Ring<KeyEvent> events;
     private final Ring<KeyAction> mapWork;
@@ -50,17 +45,13 @@
         this.metrics = metrics;
     }
 
-    /** Waits for events or for due time, and decides on all that wait. */
+    /** Waits for an event or for due time, and decides. */
     void runStep() throws InterruptedException {
         long dueNanos = controller.nextDueNanos();
         long waitNanos = dueNanos == Long.MAX_VALUE ? LONGEST_WAIT.toNanos() : dueNanos - System.nanoTime();
         Duration wait = Duration.ofNanos(Math.max(0, Math.min(waitNanos, LONGEST_WAIT.toNanos())));
-        List<KeyEvent> batch = new ArrayList<>();
-        batch.add(events.poll(wait).orElseGet(KeyEvent.TimePassed::new));
-        while (events.size() > 0 && batch.size() < MAX_BATCH) {
-            events.poll(Duration.ZERO).ifPresent(batch::add);
-        }
-        controller.handle(batch, System.nanoTime()).forEach(this::run);
+        KeyEvent event = events.poll(wait).orElseGet(KeyEvent.TimePassed::new);
+        controller.handle(event, System.nanoTime()).forEach(this::run);
     }
 
     private void run(KeyAction action) {
