--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/FleetReplay.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/FleetReplay.java
@@ -50,13 +50,12 @@
     private final List<RequestRouter> routers = new ArrayList<>();
     private final Map<String, ReplayedServer> serverById = new HashMap<>();
     private final Map<String, ReplayedServer> serverByHost = new HashMap<>();
-    private final FenceHistory fences = new FenceHistory();
     private final Map<Long, Caller> callerById = new HashMap<>();
     private final Map<String, Integer> attemptsByServer = new HashMap<>();
-    private final Set<String> partitionedServers = new HashSet<>();
     private KeyController controller = KeyController.create(new KeySettings(10_000));
     private long leaseUntilNanos;
     private final ReplayResult result = new ReplayResult();
+    private final GrantNetwork grants;
     private final boolean isSharded;
     private KeyMap stored;
     private long revision;
@@ -65,6 +64,7 @@
     FleetReplay(long seed, int routerCount, double[] speeds, boolean isSharded) {
         this.random = RandomSource.SPLIT_MIX_64.create(seed);
         this.isSharded = isSharded;
+        this.grants = new GrantNetwork(time, random, serverByHost, result, this::handleByController);
         Set<String> routerIds = new HashSet<>();
         for (int index = 0; index < routerCount; index++) {
             routerIds.add("router-" + index);
@@ -145,6 +145,10 @@
         return time;
     }
 
+    GrantNetwork grants() {
+        return grants;
+    }
+
     ReplayResult result() {
         return result;
     }
@@ -247,12 +251,6 @@
         time.after(400, this::renewLease);
     }
 
-    /** Leaves the controller's calls to the server unanswered for {@code millis}; the server may accept them anyway. */
-    void partitionFromController(String serverId, double millis) {
-        partitionedServers.add(serverId);
-        time.after(millis, () -> partitionedServers.remove(serverId));
-    }
-
     /**
      * Replaces the controller by one that knows the configuration, the registered servers and the stored map only; it
      * gets the lease at the next renewal.
@@ -271,6 +269,26 @@
         broadcast(new ServingEvent.ServerRemoved(serverId));
     }
 
+    /** Registers the server as draining; it serves on. */
+    void drain(String serverId) {
+        BackendServer server = serverById.get(serverId).registration();
+        broadcast(new ServingEvent.ServerChanged(new BackendServer(
+                server.id(),
+                server.bornEpochMillis(),
+                server.service(),
+                server.host(),
+                server.port(),
+                server.dataCentre(),
+                server.slots(),
+                true,
+                0)));
+    }
+
+    /** Registers the server as ready again. */
+    void register(String serverId) {
+        broadcast(new ServingEvent.ServerChanged(serverById.get(serverId).registration()));
+    }
+
     private void sendTable() {
         handleByController(new KeyEvent.FleetChanged(new ServingEvent.TableChanged(table())));
     }
@@ -297,9 +315,9 @@
         } else if (action instanceof KeyAction.PublishMap publish) {
             time.after(NETWORK_DELAY_MILLIS, () -> broadcast(new ServingEvent.KeyMapChanged(publish.map())));
         } else if (action instanceof KeyAction.SendGrant grant) {
-            time.after(NETWORK_DELAY_MILLIS, () -> deliverGrant(grant));
+            grants.send(grant);
         } else if (action instanceof KeyAction.SendRelease release) {
-            time.after(NETWORK_DELAY_MILLIS, () -> deliverRelease(release));
+            grants.send(release);
         }
     }
 
@@ -310,49 +328,6 @@
         handleByController(new KeyEvent.MapWritten(stored, revision));
     }
 
-    private void deliverGrant(KeyAction.SendGrant grant) {
-        ReplayedServer server = serverByHost.get(grant.owner().host());
-        boolean isPartitioned = partitionedServers.contains(grant.owner().serverId());
-        if (server.isDown() || (isPartitioned && random.nextBoolean())) {
-            handleByController(new KeyEvent.CallUnanswered(grant.callId(), !server.isDown()));
-            return;
-        }
-        serverByHost.values().stream()
-                .filter(other -> other != server && other.holdsAny(grant.firstKey(), grant.lastKey()))
-                .forEach(other -> result.recordDoubleOwner());
-        String process = grant.owner().host() + '#' + server.incarnation();
-        if (grant.isRenewal() && !fences.wasGrantedTo(grant.fence(), process)) {
-            handleByController(
-                    random.nextBoolean()
-                            ? new KeyEvent.RenewalUnverified(grant.callId())
-                            : new KeyEvent.CallUnanswered(grant.callId(), true));
-            return;
-        }
-        if (!fences.recordGrant(grant.firstKey(), grant.lastKey(), grant.fence(), process)) {
-            result.recordReusedFence();
-        }
-        server.grant(grant.firstKey(), grant.lastKey(), grant.fence(), grant.holdMillis());
-        time.after(
-                NETWORK_DELAY_MILLIS,
-                () -> handleByController(
-                        isPartitioned
-                                ? new KeyEvent.CallUnanswered(grant.callId(), true)
-                                : new KeyEvent.GrantAccepted(grant.callId())));
-    }
-
-    private void deliverRelease(KeyAction.SendRelease release) {
-        ReplayedServer server = serverByHost.get(release.owner().host());
-        if (server.isDown() || partitionedServers.contains(release.owner().serverId())) {
-            handleByController(new KeyEvent.CallUnanswered(release.callId(), !server.isDown()));
-            return;
-        }
-        server.release(
-                release.firstKey(),
-                release.lastKey(),
-                () -> time.after(
-                        NETWORK_DELAY_MILLIS, () -> handleByController(new KeyEvent.Released(release.callId(), "h"))));
-    }
-
     private record Caller(double startMillis, int key, double workMillis, boolean mayRetry) {
 
         private Caller forRetry() {
--- /dev/null
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/GrantNetwork.java
@@ -0,0 +1,134 @@
+package org.daisyscale.core.replay;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.daisyscale.core.keys.KeyAction;
+import org.daisyscale.core.keys.KeyEvent;
+
+/**
+ * Carries grants and releases from the controller to the servers in simulated time, and checks that no two servers hold
+ * the same keys. Not thread-safe.
+ */
+final class GrantNetwork {
+    private static final double NETWORK_DELAY_MILLIS = 1.5;
+    /** How long the controller waits for the answer to a grant, in milliseconds. */
+    private static final double GRANT_TIMEOUT_MILLIS = 500;
+    /** One in this many grants is delayed while grants are delayed. */
+    private static final int DELAYED_GRANTS_ONE_IN = 8;
+
+    private final Timeline time;
+    private final UniformRandomProvider random;
+    private final Map<String, ReplayedServer> serverByHost;
+    private final ReplayResult result;
+    private final Consumer<KeyEvent> answers;
+    private final FenceHistory fences = new FenceHistory();
+    private final Set<String> partitionedServers = new HashSet<>();
+    private double maxGrantDelayMillis;
+
+    GrantNetwork(
+            Timeline time,
+            UniformRandomProvider random,
+            Map<String, ReplayedServer> serverByHost,
+            ReplayResult result,
+            Consumer<KeyEvent> answers) {
+        this.time = time;
+        this.random = random;
+        this.serverByHost = serverByHost;
+        this.result = result;
+        this.answers = answers;
+    }
+
+    /** Leaves the controller's calls to the server unanswered for {@code millis}; the server may accept them anyway. */
+    void partitionFromController(String serverId, double millis) {
+        partitionedServers.add(serverId);
+        time.after(millis, () -> partitionedServers.remove(serverId));
+    }
+
+    /**
+     * Delays some grants by up to {@code maxMillis}, as lost packets and slow links do. A grant that arrives after its
+     * timeout takes effect without an answer.
+     */
+    void delayGrants(double maxMillis) {
+        maxGrantDelayMillis = maxMillis;
+    }
+
+    void send(KeyAction.SendGrant grant) {
+        boolean isDelayed = maxGrantDelayMillis > 0 && random.nextInt(DELAYED_GRANTS_ONE_IN) == 0;
+        double delayMillis = isDelayed ? random.nextDouble() * maxGrantDelayMillis : 0;
+        if (delayMillis < GRANT_TIMEOUT_MILLIS) {
+            time.after(NETWORK_DELAY_MILLIS + delayMillis, () -> deliver(grant));
+        } else {
+            time.after(GRANT_TIMEOUT_MILLIS, () -> answers.accept(new KeyEvent.CallUnanswered(grant.callId(), true)));
+            time.after(delayMillis, () -> takeEffectLate(grant));
+        }
+    }
+
+    private void takeEffectLate(KeyAction.SendGrant grant) {
+        ReplayedServer server = serverByHost.get(grant.owner().host());
+        String process = grant.owner().host() + '#' + server.incarnation();
+        boolean isSameProcess = !grant.isRenewal() || fences.wasGrantedTo(grant.fence(), process);
+        if (!server.isDown()
+                && isSameProcess
+                && !server.hasSeenHigherFence(grant.firstKey(), grant.lastKey(), grant.fence())) {
+            take(grant, server, process);
+        }
+    }
+
+    private void take(KeyAction.SendGrant grant, ReplayedServer server, String process) {
+        serverByHost.values().stream()
+                .filter(other -> other != server && other.holdsAny(grant.firstKey(), grant.lastKey()))
+                .forEach(other -> result.recordDoubleOwner());
+        if (!fences.recordGrant(grant.firstKey(), grant.lastKey(), grant.fence(), process)) {
+            result.recordReusedFence();
+        }
+        server.grant(grant.firstKey(), grant.lastKey(), grant.fence(), grant.holdMillis());
+    }
+
+    private void deliver(KeyAction.SendGrant grant) {
+        ReplayedServer server = serverByHost.get(grant.owner().host());
+        boolean isPartitioned = partitionedServers.contains(grant.owner().serverId());
+        if (server.isDown() || (isPartitioned && random.nextBoolean())) {
+            answers.accept(new KeyEvent.CallUnanswered(grant.callId(), !server.isDown()));
+            return;
+        }
+        String process = grant.owner().host() + '#' + server.incarnation();
+        if (grant.isRenewal() && !fences.wasGrantedTo(grant.fence(), process)) {
+            answers.accept(
+                    random.nextBoolean()
+                            ? new KeyEvent.RenewalUnverified(grant.callId())
+                            : new KeyEvent.CallUnanswered(grant.callId(), true));
+            return;
+        }
+        if (server.hasSeenHigherFence(grant.firstKey(), grant.lastKey(), grant.fence())) {
+            time.after(NETWORK_DELAY_MILLIS, () -> answers.accept(new KeyEvent.GrantRejected(grant.callId())));
+            return;
+        }
+        take(grant, server, process);
+        time.after(
+                NETWORK_DELAY_MILLIS,
+                () -> answers.accept(
+                        isPartitioned
+                                ? new KeyEvent.CallUnanswered(grant.callId(), true)
+                                : new KeyEvent.GrantAccepted(grant.callId())));
+    }
+
+    void send(KeyAction.SendRelease release) {
+        time.after(NETWORK_DELAY_MILLIS, () -> deliver(release));
+    }
+
+    private void deliver(KeyAction.SendRelease release) {
+        ReplayedServer server = serverByHost.get(release.owner().host());
+        if (server.isDown() || partitionedServers.contains(release.owner().serverId())) {
+            answers.accept(new KeyEvent.CallUnanswered(release.callId(), !server.isDown()));
+            return;
+        }
+        server.release(
+                release.firstKey(),
+                release.lastKey(),
+                () -> time.after(
+                        NETWORK_DELAY_MILLIS, () -> answers.accept(new KeyEvent.Released(release.callId(), "h"))));
+    }
+}
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/OwnershipUnderFaultsTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/OwnershipUnderFaultsTest.java
@@ -65,9 +65,31 @@
         assertThat(replay.result().answeredRatio()).isPositive();
     }
 
+    /** Guards against a grant that takes effect at a server after the server has released its keys. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void shouldNeverLetTwoServersHoldAKeyWhenGrantsTakeEffectAfterTheReleaseOfTheirKeys(long seed) {
+        UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(seed);
+        FleetReplay replay = new FleetReplay(seed, 3, new double[] {1, 1, 0.5, 1, 1.5, 1}, true);
+        replay.generateLoad(40, 100, END_MILLIS, () -> random.nextInt(KeyMap.KEY_COUNT / 8));
+        replay.time().after(3_000, () -> replay.grants().delayGrants(2_000));
+        for (int fault = 0; fault < FAULTS; fault++) {
+            double atMillis = 3_000 + random.nextDouble() * (END_MILLIS - 10_000);
+            String serverId = "server-" + (10 + random.nextInt(SERVERS));
+            replay.time().after(atMillis, () -> replay.drain(serverId));
+            replay.time().after(atMillis + 3_000, () -> replay.register(serverId));
+        }
+
+        replay.time().runUntilMillis(END_MILLIS);
+
+        assertThat(replay.result().doubleOwners()).isZero();
+        assertThat(replay.result().reusedFences()).isZero();
+        assertThat(replay.result().answeredRatio()).isPositive();
+    }
+
     private static void inject(int kind, String serverId, FleetReplay replay, UniformRandomProvider random) {
         switch (kind) {
-            case 0 -> replay.partitionFromController(serverId, 1_000 + random.nextInt(8_000));
+            case 0 -> replay.grants().partitionFromController(serverId, 1_000 + random.nextInt(8_000));
             case 1 -> replay.replaceController();
             case 2 -> replay.deregister(serverId);
             default -> replay.server(serverId).crash();
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/ReplayedServer.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/ReplayedServer.java
@@ -20,6 +20,7 @@
     private final Deque<Work> waiting = new ArrayDeque<>();
     private final List<Work> running = new ArrayList<>();
     private final List<Hold> holds = new ArrayList<>();
+    private final List<Hold> acceptedGrants = new ArrayList<>();
     private double speed;
     private double noise = 1;
     private boolean isDown;
@@ -50,6 +51,7 @@
         running.clear();
         waiting.clear();
         holds.clear();
+        acceptedGrants.clear();
     }
 
     /** Starts another process at the address, without any grants. */
@@ -114,7 +116,16 @@
                                 && hold.untilNanos() > time.nowNanos());
     }
 
+    /** Returns whether the process accepted a grant of any of the keys under a fence above {@code fence}. */
+    boolean hasSeenHigherFence(int firstKey, int lastKey, long fence) {
+        return acceptedGrants.stream()
+                .anyMatch(grant -> grant.fence() > fence && grant.firstKey() <= lastKey && firstKey <= grant.lastKey());
+    }
+
     void grant(int firstKey, int lastKey, long fence, long holdMillis) {
+        acceptedGrants.removeIf(
+                grant -> grant.fence() <= fence && firstKey <= grant.firstKey() && grant.lastKey() <= lastKey);
+        acceptedGrants.add(new Hold(firstKey, lastKey, fence, 0));
         holds.removeIf(hold -> hold.fence() == fence && firstKey <= hold.firstKey() && hold.lastKey() <= lastKey);
         holds.add(new Hold(firstKey, lastKey, fence, time.nowNanos() + holdMillis * 1_000_000L));
     }
