--- /dev/null
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/HoldLedger.java
@@ -0,0 +1,141 @@
+package org.daisyscale.core.internal.keys;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.daisyscale.core.serving.KeyAssignment;
+import org.daisyscale.core.serving.KeyAssignment.Owner;
+
+/**
+ * Records the grants of one service that servers may hold, so that a range changes hands only once no other server can
+ * hold it.
+ *
+ * <p>Invariants: a grant in flight counts as held, and one that was sent counts as held until it has certainly expired.
+ * A grant without an answer may take effect late, even after a release of its keys; it can't once the server has
+ * accepted a higher fence on one of its keys, because the server then rejects it. Grants of earlier controllers expire
+ * at most the longest hold after the start of this controller's term.
+ *
+ * <p>Not thread-safe; confined to the core thread.
+ */
+final class HoldLedger {
+    /** A server's clock may be slower than this router's by this factor. Source: required by the platform. */
+    private static final double CLOCK_DRIFT_FACTOR = 1.02;
+    /** How long after the connection was reset a grant may still arrive, in milliseconds: links may delay bytes. */
+    private static final long MAX_TRANSIT_MILLIS = 250;
+
+    private final long holdMaxMillis;
+    private final Map<Owner, List<Hold>> holdsByOwner = new HashMap<>();
+    private final Map<Long, Hold> inFlightByCall = new HashMap<>();
+    private final Set<Owner> goneOwners = new HashSet<>();
+    private long termEndOfOthersNanos;
+
+    HoldLedger(long holdMaxMillis) {
+        this.holdMaxMillis = holdMaxMillis;
+    }
+
+    /** Starts a term of this controller, before which others may have granted anything. */
+    void startTerm(long nowNanos) {
+        termEndOfOthersNanos = expiryNanos(nowNanos, holdMaxMillis) + MAX_TRANSIT_MILLIS * 1_000_000L;
+    }
+
+    private static long expiryNanos(long arrivedNanos, long holdMillis) {
+        return arrivedNanos + (long) (holdMillis * CLOCK_DRIFT_FACTOR * 1e6);
+    }
+
+    /** Records a grant that is about to be sent. */
+    void recordGrant(long callId, KeyAssignment range, long fence, long holdMillis, long nowNanos) {
+        Hold hold = new Hold(range.firstKey(), range.lastKey(), fence, holdMillis);
+        List<Hold> holds = holdsByOwner.computeIfAbsent(range.owner(), owner -> new ArrayList<>());
+        holds.removeIf(other -> other.isOver(nowNanos));
+        holds.add(hold);
+        inFlightByCall.put(callId, hold);
+    }
+
+    /** Records that the server accepted the grant, and with its fence rejects older grants of any of its keys. */
+    void recordAccepted(long callId, Owner owner, long nowNanos) {
+        Hold accepted = inFlightByCall.remove(callId);
+        if (accepted != null) {
+            accepted.end(expiryNanos(nowNanos, accepted.holdMillis), false);
+            holdsByOwner.getOrDefault(owner, List.of()).stream()
+                    .filter(other -> other.fence < accepted.fence
+                            && other.firstKey <= accepted.lastKey
+                            && accepted.firstKey <= other.lastKey)
+                    .forEach(other -> other.mayTakeEffectLate = false);
+        }
+    }
+
+    /** Records that the grant got no answer although it was sent. */
+    void recordUnanswered(long callId, long nowNanos) {
+        Hold unanswered = inFlightByCall.remove(callId);
+        if (unanswered != null) {
+            long arrivedNanos = nowNanos + MAX_TRANSIT_MILLIS * 1_000_000L;
+            unanswered.end(expiryNanos(arrivedNanos, unanswered.holdMillis), true);
+        }
+    }
+
+    /** Records that the grant was not sent or that the server rejected it. */
+    void recordNotTaken(long callId, Owner owner) {
+        Hold notTaken = inFlightByCall.remove(callId);
+        if (notTaken != null) {
+            holdsByOwner.getOrDefault(owner, new ArrayList<>()).remove(notTaken);
+        }
+    }
+
+    /** Records that the server process has ended, and with it all its grants. */
+    void recordGone(Owner owner) {
+        goneOwners.add(owner);
+    }
+
+    /** Returns whether {@code owner} may hold a key of {@code range}, provided that it has not released it. */
+    boolean mayHold(Owner owner, KeyAssignment range, long nowNanos) {
+        return !goneOwners.contains(owner)
+                && (termEndOfOthersNanos - nowNanos > 0
+                        || holds(owner, range).anyMatch(hold -> !hold.isOver(nowNanos)));
+    }
+
+    /**
+     * Returns whether a grant of any key of {@code range} to {@code owner} is in flight or may take effect late, so that
+     * a release sent now would prove nothing.
+     */
+    boolean mayTakeEffectLater(Owner owner, KeyAssignment range, long nowNanos) {
+        return holds(owner, range)
+                .anyMatch(hold -> hold.isInFlight || (hold.mayTakeEffectLate && !hold.isOver(nowNanos)));
+    }
+
+    private Stream<Hold> holds(Owner owner, KeyAssignment range) {
+        return holdsByOwner.getOrDefault(owner, List.of()).stream()
+                .filter(hold -> hold.firstKey <= range.lastKey() && range.firstKey() <= hold.lastKey);
+    }
+
+    /** One grant. */
+    private static final class Hold {
+        private final int firstKey;
+        private final int lastKey;
+        private final long fence;
+        private final long holdMillis;
+        private boolean isInFlight = true;
+        private boolean mayTakeEffectLate;
+        private long expiresNanos;
+
+        private Hold(int firstKey, int lastKey, long fence, long holdMillis) {
+            this.firstKey = firstKey;
+            this.lastKey = lastKey;
+            this.fence = fence;
+            this.holdMillis = holdMillis;
+        }
+
+        private void end(long newExpiresNanos, boolean isUncertain) {
+            isInFlight = false;
+            mayTakeEffectLate = isUncertain;
+            expiresNanos = newExpiresNanos;
+        }
+
+        private boolean isOver(long nowNanos) {
+            return !isInFlight && nowNanos - expiresNanos >= 0;
+        }
+    }
+}
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LeasedKeyController.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LeasedKeyController.java
@@ -1,7 +1,6 @@
 package org.daisyscale.core.internal.keys;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -15,15 +14,28 @@
  * thread.
  */
 final class LeasedKeyController implements KeyController {
-    /** Hold of a grant, in milliseconds: longer than a takeover by another controller, shorter than callers wait. */
-    private static final long HOLD_MILLIS = 2_400;
+    /** Shortest hold of a grant, in milliseconds: longer than a takeover by another controller. */
+    private static final long MIN_HOLD_MILLIS = 2_400;
+    /**
+     * Longest hold of a grant while the lease is renewed, in milliseconds: the keys of a lost server have to be served
+     * again within 5 s.
+     */
+    private static final long MAX_HOLD_MILLIS = 4_500;
+    /** Hold for each range, in milliseconds: the more ranges, the less often each is renewed. */
+    private static final long HOLD_MILLIS_PER_RANGE = 24;
     /** Interval at which due calls are made while this router controls the keys, in milliseconds. */
     private static final long STEP_MILLIS = 50;
 
+    /**
+     * How long a call may wait in this router before it is sent, in milliseconds: the holds that a plan relies on are
+     * counted from its sending.
+     */
+    private static final long MAX_UNSENT_MILLIS = 250;
+
     private final KeySettings settings;
     private final ServerRegistry registry = new ServerRegistry();
     private final CallIdSequence callIds = new CallIdSequence();
-    private final OwnerTracker owners;
+    private final OwnerTracker owners = new OwnerTracker();
     private final Map<String, ServiceKeyCoordinator> coordinatorByService = new TreeMap<>();
     private boolean isLeaseHeld;
     private boolean isLeading;
@@ -33,16 +45,18 @@
 
     LeasedKeyController(KeySettings settings) {
         this.settings = settings;
-        this.owners = new OwnerTracker(settings.holdMaxMillis());
     }
 
     @Override
-    public List<KeyAction> handle(KeyEvent event, long nowNanos) {
+    public List<KeyAction> handle(List<KeyEvent> events, long nowNanos) {
         List<KeyAction> actions = new ArrayList<>();
-        if (!handleLeaseEvent(event, actions, nowNanos) && !handleMapEvent(event)) {
-            handleOtherEvent(event, nowNanos);
+        boolean needsStep = nowNanos - nextStepNanos >= 0;
+        for (KeyEvent event : events) {
+            needsStep |= handleLeaseEvent(event, actions, nowNanos)
+                    || handleMapEvent(event)
+                    || handleOtherEvent(event, nowNanos);
         }
-        if (!(event instanceof KeyEvent.LoadReported) || nowNanos - nextStepNanos >= 0) {
+        if (needsStep) {
             step(actions, nowNanos);
         }
         return actions;
@@ -54,7 +68,7 @@
             isInDoubt = false;
             if (!isLeaseHeld) {
                 startLeading(actions, nowNanos);
-            } else if (!isLeading) {
+            } else if (!isLeading && validUntilNanos - nowNanos > 0) {
                 resume(actions);
             }
         } else if (event instanceof KeyEvent.LeaseInDoubt) {
@@ -82,7 +96,7 @@
     private void startLeading(List<KeyAction> actions, long nowNanos) {
         isLeaseHeld = true;
         isLeading = true;
-        owners.startTerm(nowNanos);
+        owners.startTerm();
         coordinatorByService.forEach((service, coordinator) -> {
             coordinator.restart(nowNanos);
             actions.add(new KeyAction.ReadMap(service));
@@ -105,31 +119,50 @@
         return true;
     }
 
-    private void handleOtherEvent(KeyEvent event, long nowNanos) {
-        Collection<ServiceKeyCoordinator> all = coordinatorByService.values();
+    /** Handles the event and returns whether calls or plans may be due at once rather than at the next interval. */
+    private boolean handleOtherEvent(KeyEvent event, long nowNanos) {
         if (event instanceof KeyEvent.FleetChanged changed) {
             registry.apply(changed.change(), nowNanos);
-        } else if (event instanceof KeyEvent.LoadReported reported) {
+            return true;
+        }
+        if (event instanceof KeyEvent.LoadReported reported) {
             coordinator(reported.load().service()).add(reported.load(), nowNanos);
-        } else if (event instanceof KeyEvent.GrantAccepted accepted) {
-            all.forEach(coordinator -> coordinator.calls().onGrantAccepted(accepted.callId()));
+            return false;
+        }
+        boolean needsStep = event instanceof KeyEvent.TimePassed;
+        for (ServiceKeyCoordinator coordinator : coordinatorByService.values()) {
+            needsStep |= handleCallEnd(event, coordinator.calls(), nowNanos);
+        }
+        return needsStep;
+    }
+
+    private static boolean handleCallEnd(KeyEvent event, RangeCallCoordinator calls, long nowNanos) {
+        if (event instanceof KeyEvent.GrantAccepted accepted) {
+            return calls.onGrantAccepted(accepted.callId(), nowNanos);
         } else if (event instanceof KeyEvent.GrantRejected rejected) {
-            all.forEach(coordinator -> coordinator.calls().onGrantRejected(rejected.callId()));
+            calls.onGrantRejected(rejected.callId());
+            return true;
         } else if (event instanceof KeyEvent.RenewalUnverified unverified) {
-            all.forEach(coordinator -> coordinator.calls().onRenewalUnverified(unverified.callId(), nowNanos));
+            calls.onRenewalUnverified(unverified.callId(), nowNanos);
+        } else if (event instanceof KeyEvent.CallExpired expired) {
+            calls.onExpired(expired.callId(), nowNanos);
         } else if (event instanceof KeyEvent.CallUnanswered unanswered) {
-            all.forEach(coordinator ->
-                    coordinator.calls().onUnanswered(unanswered.callId(), unanswered.wasSent(), nowNanos));
+            calls.onUnanswered(unanswered.callId(), unanswered.wasSent(), nowNanos);
         } else if (event instanceof KeyEvent.OwnerGone gone) {
-            all.forEach(coordinator -> coordinator.calls().onOwnerGone(gone.callId(), nowNanos));
+            calls.onOwnerGone(gone.callId(), nowNanos);
+            return true;
         } else if (event instanceof KeyEvent.Released released) {
-            all.forEach(coordinator -> coordinator.calls().onReleased(released.callId(), released.handover()));
+            calls.onReleased(released.callId(), released.handover());
+            return true;
         }
+        return false;
     }
 
     private ServiceKeyCoordinator coordinator(String service) {
         return coordinatorByService.computeIfAbsent(
-                service, name -> new ServiceKeyCoordinator(name, registry, owners, callIds));
+                service,
+                name -> new ServiceKeyCoordinator(
+                        name, registry, owners, new HoldLedger(settings.holdMaxMillis()), callIds));
     }
 
     private void step(List<KeyAction> actions, long nowNanos) {
@@ -148,11 +181,23 @@
                 actions.add(new KeyAction.ReadMap(service));
             }
         }
-        long holdMillis = isInDoubt ? settings.holdMaxMillis() : HOLD_MILLIS;
-        coordinatorByService.values().forEach(coordinator -> coordinator.step(holdMillis, actions, nowNanos));
+        long maxUnsentNanos = Math.min(MAX_UNSENT_MILLIS * 1_000_000L, validUntilNanos - nowNanos);
+        CallTerms terms = new CallTerms(holdMillis(), nowNanos + maxUnsentNanos);
+        coordinatorByService.values().forEach(coordinator -> coordinator.step(terms, actions, nowNanos));
         nextStepNanos = nowNanos + STEP_MILLIS * 1_000_000L;
     }
 
+    private long holdMillis() {
+        if (isInDoubt) {
+            return settings.holdMaxMillis();
+        }
+        long rangeCount = coordinatorByService.values().stream()
+                .mapToLong(ServiceKeyCoordinator::rangeCount)
+                .sum();
+        long neededMillis = Math.max(MIN_HOLD_MILLIS, rangeCount * HOLD_MILLIS_PER_RANGE);
+        return Math.min(Math.min(neededMillis, MAX_HOLD_MILLIS), settings.holdMaxMillis());
+    }
+
     @Override
     public long nextDueNanos() {
         return nextStepNanos;
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/RangeCallCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/RangeCallCoordinator.java
@@ -4,20 +4,25 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.daisyscale.core.keys.KeyAction;
 import org.daisyscale.core.serving.KeyAssignment;
 import org.daisyscale.core.serving.KeyAssignment.Owner;
 import org.daisyscale.core.serving.KeyMap;
 
 /**
- * Coordinates the grant and release calls for the ranges of one service: which are pending, answered or due. A moving
- * range is granted only when each predecessor has released it or its grants have expired. A grant carries a new fence
- * unless the call can only reach the process that accepted this fence before. Not thread-safe; confined to the core
- * thread.
+ * Coordinates the grant and release calls for the ranges of one service: which are pending, answered or due.
+ *
+ * <p>Invariants: a moving range is granted only when each predecessor has certainly lost it, see {@link HoldLedger}. A
+ * grant carries a new fence unless the call can only reach the process that accepted this fence before.
+ *
+ * <p>Not thread-safe; confined to the core thread.
  */
 final class RangeCallCoordinator {
-    /** A grant is renewed after this fraction of its hold, so that two renewals may be lost. */
-    private static final double RENEW_FRACTION = 0.28;
+    /**
+     * How long before the end of its hold a grant is renewed, in milliseconds, so that two renewals may go unanswered.
+     */
+    private static final long RENEW_BEFORE_END_MILLIS = 1_730;
     /**
      * Delay before an unanswered grant is retried, and step of the linear backoff of releases, in milliseconds: a lost
      * packet is retransmitted by then.
@@ -27,30 +32,38 @@
     private static final long NO_FENCE = 0;
 
     private final OwnerTracker owners;
+    private final HoldLedger holds;
     private final ServerRegistry registry;
     private final FenceBlock fences;
     private final CallIdSequence callIds;
     private final Map<KeyAssignment, RangeState> stateByRange = new HashMap<>();
     private final Map<Long, PendingCall> callById = new HashMap<>();
+    private int term;
 
-    RangeCallCoordinator(OwnerTracker owners, ServerRegistry registry, FenceBlock fences, CallIdSequence callIds) {
+    RangeCallCoordinator(
+            OwnerTracker owners, HoldLedger holds, ServerRegistry registry, FenceBlock fences, CallIdSequence callIds) {
         this.owners = owners;
+        this.holds = holds;
         this.registry = registry;
         this.fences = fences;
         this.callIds = callIds;
     }
 
-    void clear() {
+    /** Discards the state of an earlier term, but not what servers may hold. */
+    void startTerm(long nowNanos) {
+        term++;
         stateByRange.clear();
-        callById.clear();
+        holds.startTerm(nowNanos);
     }
 
     /** Keeps the state of ranges that {@code map} keeps, whole or in part; discards that of all others. */
     void adopt(KeyMap map) {
-        Map<KeyAssignment, RangeState> before = new HashMap<>(stateByRange);
+        Map<Long, List<Map.Entry<KeyAssignment, RangeState>>> beforeByFence =
+                Map.copyOf(stateByRange).entrySet().stream()
+                        .collect(Collectors.groupingBy(entry -> entry.getKey().fence()));
         stateByRange.clear();
         for (KeyAssignment assignment : map.assignments()) {
-            RangeState state = before.entrySet().stream()
+            RangeState state = beforeByFence.getOrDefault(assignment.fence(), List.of()).stream()
                     .filter(entry -> covers(entry.getKey(), assignment))
                     .findFirst()
                     .map(entry -> entry.getKey().keyCount() == assignment.keyCount()
@@ -80,50 +93,69 @@
         return stateByRange.computeIfAbsent(assignment, range -> new RangeState());
     }
 
-    /** Makes the calls that are due for {@code assignment}; a grant lasts {@code holdMillis}. */
-    void makeDueCalls(KeyAssignment assignment, long holdMillis, List<KeyAction> actions, long nowNanos) {
+    /** Makes the calls that are due for {@code assignment}. */
+    void makeDueCalls(KeyAssignment assignment, CallTerms terms, List<KeyAction> actions, long nowNanos) {
         RangeState state = stateFor(assignment);
         if (state.isFenceTooLow || state.grantCallId != 0) {
             return;
         }
         boolean isReleased = true;
         for (Owner predecessor : assignment.predecessors()) {
-            isReleased &= state.isGranted || ensureReleased(assignment, predecessor, state, actions, nowNanos);
+            isReleased &= state.isGranted || ensureReleased(assignment, predecessor, state, terms, actions, nowNanos);
         }
         boolean hasFence = state.fence != NO_FENCE || !fences.isEmpty();
         if (isReleased && hasFence && nowNanos - state.grantDueNanos >= 0 && registry.mayOwn(assignment.owner())) {
-            grant(assignment, holdMillis, state, actions, nowNanos);
+            grant(assignment, terms, state, actions, nowNanos);
         }
     }
 
-    /** Returns whether {@code predecessor} no longer holds the range; if it may, asks it to release the range. */
+    /**
+     * Returns whether {@code predecessor} no longer holds the range; if it may, asks it to release the range. No
+     * release is sent while an earlier grant may still take effect after it; the predecessor serves on meanwhile.
+     */
     private boolean ensureReleased(
-            KeyAssignment assignment, Owner predecessor, RangeState state, List<KeyAction> actions, long nowNanos) {
+            KeyAssignment assignment,
+            Owner predecessor,
+            RangeState state,
+            CallTerms terms,
+            List<KeyAction> actions,
+            long nowNanos) {
         if (predecessor.equals(assignment.owner())
-                || state.handoverByPredecessor.containsKey(predecessor)
                 || registry.isReplaced(predecessor)
-                || nowNanos - owners.heldUntilNanos(predecessor) >= 0) {
+                || !holds.mayHold(predecessor, assignment, nowNanos)) {
+            return true;
+        }
+        if (holds.mayTakeEffectLater(predecessor, assignment, nowNanos)) {
+            return false;
+        }
+        if (state.handoverByPredecessor.containsKey(predecessor)) {
             return true;
         }
         long dueNanos = state.releaseDueNanos.getOrDefault(predecessor, nowNanos);
         if (nowNanos - dueNanos >= 0) {
             state.releaseDueNanos.put(predecessor, nowNanos + RETRY_MILLIS * 1_000_000L * state.nextReleaseAttempt());
             long callId = callIds.next();
-            callById.put(callId, new PendingCall(assignment, predecessor, false, 0));
+            callById.put(callId, new PendingCall(assignment, predecessor, false, term));
             actions.add(new KeyAction.SendRelease(
-                    callId, predecessor, assignment.firstKey(), assignment.lastKey(), assignment.fence()));
+                    callId,
+                    predecessor,
+                    assignment.firstKey(),
+                    assignment.lastKey(),
+                    assignment.fence(),
+                    terms.sendBeforeNanos()));
         }
         return false;
     }
 
     private void grant(
-            KeyAssignment assignment, long holdMillis, RangeState state, List<KeyAction> actions, long nowNanos) {
-        long previousHeldUntilNanos = owners.recordGrant(assignment.owner(), holdMillis, nowNanos);
+            KeyAssignment assignment, CallTerms terms, RangeState state, List<KeyAction> actions, long nowNanos) {
+        long holdMillis = terms.holdMillis();
         boolean isRenewal = state.fence != NO_FENCE;
         state.fence = isRenewal ? state.fence : fences.take();
         state.grantCallId = callIds.next();
-        state.grantDueNanos = nowNanos + (long) (holdMillis * RENEW_FRACTION * 1e6);
-        callById.put(state.grantCallId, new PendingCall(assignment, assignment.owner(), true, previousHeldUntilNanos));
+        state.grantDueNanos = nowNanos + Math.max(RETRY_MILLIS, holdMillis - RENEW_BEFORE_END_MILLIS) * 1_000_000L;
+        callById.put(state.grantCallId, new PendingCall(assignment, assignment.owner(), true, term));
+        holds.recordGrant(state.grantCallId, assignment, state.fence, holdMillis, nowNanos);
         String handover = state.isGranted
                 ? ""
                 : state.handoverByPredecessor.values().stream()
@@ -138,7 +170,8 @@
                 state.fence,
                 isRenewal,
                 holdMillis,
-                handover));
+                handover,
+                terms.sendBeforeNanos()));
     }
 
     /** Makes the grants of all ranges due now, so that they are renewed for a longer hold. */
@@ -146,18 +179,25 @@
         stateByRange.values().forEach(state -> state.grantDueNanos = nowNanos);
     }
 
-    /** Records that the server accepted the grant. */
-    void onGrantAccepted(long callId) {
-        removePending(callId).ifPresent(call -> {
-            owners.recordAnswered(call.owner());
-            endCall(call, callId).ifPresent(state -> state.isGranted = true);
-        });
+    /** Records that the server accepted the grant; returns whether it is the first one of its range. */
+    boolean onGrantAccepted(long callId, long nowNanos) {
+        PendingCall call = callById.remove(callId);
+        if (call == null) {
+            return false;
+        }
+        owners.recordAnswered(call.owner());
+        holds.recordAccepted(callId, call.owner(), nowNanos);
+        Optional<RangeState> state = endCall(call, callId);
+        boolean isFirst = state.filter(found -> !found.isGranted).isPresent();
+        state.ifPresent(found -> found.isGranted = true);
+        return isFirst;
     }
 
     /** Records that the server rejected the grant because it knows a higher fence. */
     void onGrantRejected(long callId) {
         removePending(callId).ifPresent(call -> {
             owners.recordAnswered(call.owner());
+            holds.recordNotTaken(callId, call.owner());
             endCall(call, callId).ifPresent(state -> state.isFenceTooLow = true);
         });
     }
@@ -166,8 +206,10 @@
     void onUnanswered(long callId, boolean wasSent, long nowNanos) {
         removePending(callId).ifPresent(call -> {
             owners.recordUnanswered(call.owner(), nowNanos);
-            if (call.isGrant() && !wasSent) {
-                owners.undoGrant(call.owner(), call.previousHeldUntilNanos());
+            if (wasSent) {
+                holds.recordUnanswered(callId, nowNanos);
+            } else {
+                holds.recordNotTaken(callId, call.owner());
             }
             endCall(call, callId).filter(state -> call.isGrant()).ifPresent(state -> {
                 state.fence = NO_FENCE;
@@ -179,7 +221,7 @@
     /** Records a renewal that was not sent, since another process may have the server's address: needs a new fence. */
     void onRenewalUnverified(long callId, long nowNanos) {
         removePending(callId).ifPresent(call -> {
-            owners.undoGrant(call.owner(), call.previousHeldUntilNanos());
+            holds.recordNotTaken(callId, call.owner());
             endCall(call, callId).ifPresent(state -> {
                 state.fence = NO_FENCE;
                 state.grantDueNanos = nowNanos;
@@ -187,6 +229,21 @@
         });
     }
 
+    /** Records a call that this router did not send in time; it is due again at once. */
+    void onExpired(long callId, long nowNanos) {
+        removePending(callId).ifPresent(call -> {
+            holds.recordNotTaken(callId, call.owner());
+            endCall(call, callId).ifPresent(state -> {
+                if (call.isGrant()) {
+                    state.fence = NO_FENCE;
+                    state.grantDueNanos = nowNanos;
+                } else {
+                    state.releaseDueNanos.remove(call.owner());
+                }
+            });
+        });
+    }
+
     /** Records that the server released the range of the call. */
     void onReleased(long callId, String handover) {
         removePending(callId).ifPresent(call -> {
@@ -199,6 +256,7 @@
     void onOwnerGone(long callId, long nowNanos) {
         removePending(callId).ifPresent(call -> {
             owners.recordGone(call.owner(), nowNanos);
+            holds.recordGone(call.owner());
             endCall(call, callId);
         });
     }
@@ -207,18 +265,25 @@
         return Optional.ofNullable(callById.remove(callId));
     }
 
-    /** Ends the call and returns the state of its range; empty if the map no longer has the range. */
+    /**
+     * Ends the call and returns the state of its range; empty if the map no longer has the range, or if the call is of
+     * an earlier term.
+     */
     private Optional<RangeState> endCall(PendingCall call, long callId) {
-        Optional<RangeState> state = stateByRange.entrySet().stream()
-                .filter(entry -> covers(call.assignment(), entry.getKey()))
-                .map(Map.Entry::getValue)
-                .findFirst();
+        if (call.term() != term) {
+            return Optional.empty();
+        }
+        Optional<RangeState> state = Optional.ofNullable(stateByRange.get(call.assignment()))
+                .or(() -> stateByRange.entrySet().stream()
+                        .filter(entry -> covers(call.assignment(), entry.getKey()))
+                        .map(Map.Entry::getValue)
+                        .findFirst());
         state.filter(found -> found.grantCallId == callId).ifPresent(found -> found.grantCallId = 0);
         return state;
     }
 
     /** A call without an answer yet. Immutable. */
-    private record PendingCall(KeyAssignment assignment, Owner owner, boolean isGrant, long previousHeldUntilNanos) {}
+    private record PendingCall(KeyAssignment assignment, Owner owner, boolean isGrant, int term) {}
 
     /** The state of the calls for one range. */
     private static final class RangeState {
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServiceKeyCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServiceKeyCoordinator.java
@@ -49,24 +49,29 @@
     private long balanceDueNanos;
     private long lastWriteNanos;
 
-    ServiceKeyCoordinator(String service, ServerRegistry registry, OwnerTracker owners, CallIdSequence callIds) {
+    ServiceKeyCoordinator(
+            String service, ServerRegistry registry, OwnerTracker owners, HoldLedger holds, CallIdSequence callIds) {
         this.service = service;
         this.registry = registry;
         this.owners = owners;
-        this.calls = new RangeCallCoordinator(owners, registry, fences, callIds);
+        this.calls = new RangeCallCoordinator(owners, holds, registry, fences, callIds);
     }
 
     RangeCallCoordinator calls() {
         return calls;
     }
 
+    long rangeCount() {
+        return map == null ? 0 : map.assignments().size();
+    }
+
     void add(KeyLoad keyLoad, long nowNanos) {
         load.add(keyLoad, nowNanos);
     }
 
     /** Discards the state of an earlier term; the map has to be read again. */
     void restart(long nowNanos) {
-        calls.clear();
+        calls.startTerm(nowNanos);
         fences.clear();
         pendingMap = null;
         publishedMap = null;
@@ -123,7 +128,7 @@
     }
 
     /** Plans the next map if no write is in flight, and makes the calls that are due. */
-    void step(long holdMillis, List<KeyAction> actions, long nowNanos) {
+    void step(CallTerms terms, List<KeyAction> actions, long nowNanos) {
         if (!isRead && !isWriteUnknown) {
             return;
         }
@@ -135,21 +140,32 @@
             });
         }
         if (map != null) {
-            Set<RangeFence> unchanged = RangeFence.allOf(pendingMap == null ? map : pendingMap);
-            map.assignments().stream()
-                    .filter(assignment -> unchanged.contains(RangeFence.of(assignment)))
-                    .forEach(assignment -> calls.makeDueCalls(assignment, holdMillis, actions, nowNanos));
+            rangesKeptByPendingWrite().forEach(assignment -> calls.makeDueCalls(assignment, terms, actions, nowNanos));
             publish(actions);
         }
     }
 
+    private List<KeyAssignment> rangesKeptByPendingWrite() {
+        if (pendingMap == null) {
+            return map.assignments();
+        }
+        Set<RangeFence> kept = RangeFence.allOf(pendingMap);
+        return map.assignments().stream()
+                .filter(assignment -> kept.contains(RangeFence.of(assignment)))
+                .toList();
+    }
+
     /** Publishes the ranges whose owners accepted their grants; the next write stores them. */
     private void publish(List<KeyAction> actions) {
-        MapDraft draft = new MapDraft(map);
-        draft.assignments().stream()
-                .filter(assignment -> !assignment.isSettled() && calls.isGranted(assignment))
-                .forEach(draft::settle);
         boolean isNewVersion = publishedMap == null || publishedMap.version() != map.version();
+        List<KeyAssignment> granted = map.assignments().stream()
+                .filter(assignment -> !assignment.isSettled() && calls.isGranted(assignment))
+                .toList();
+        if (!isNewVersion && granted.isEmpty()) {
+            return;
+        }
+        MapDraft draft = new MapDraft(map);
+        granted.forEach(draft::settle);
         KeyMap next = draft.toProgress(isNewVersion ? 0 : publishedMap.progress() + 1);
         if (isNewVersion || !next.assignments().equals(publishedMap.assignments())) {
             publishedMap = next;
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
@@ -232,7 +232,7 @@
             return false;
         }
         if (!outcome.reachedServer()) {
-            return true;
+            return outcome != AttemptOutcome.EXPIRED;
         }
         if (isKeyed(request) && outcome == AttemptOutcome.REFUSED_FULL) {
             return false;
@@ -247,6 +247,10 @@
             return;
         }
         String detail = "server=" + serverId + " outcome=" + outcome + " attempts=" + request.attemptCount();
+        if (outcome == AttemptOutcome.EXPIRED) {
+            rejectOpen(request, new Placement.Reject(CoreErrorCode.OVERLOADED, detail, RETRY_AFTER_JITTER_MILLIS));
+            return;
+        }
         rejectOpen(request, new Placement.Reject(CoreErrorCode.REFUSED_BY_SERVER, detail, RETRY_AFTER_JITTER_MILLIS));
     }
 
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/ServerView.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/ServerView.java
@@ -129,7 +129,7 @@
     }
 
     private void recordHealth(AttemptOutcome outcome, long nowNanos) {
-        if (outcome == AttemptOutcome.REFUSED_NOT_OWNER) {
+        if (outcome == AttemptOutcome.REFUSED_NOT_OWNER || outcome == AttemptOutcome.EXPIRED) {
             return;
         }
         double failure = outcome == AttemptOutcome.ANSWERED ? 0 : 1;
--- a/daisyscale-core/src/main/java/org/daisyscale/core/keys/KeyAction.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/keys/KeyAction.java
@@ -17,6 +17,7 @@
      * @param isRenewal whether the call may be sent only to the process that accepted this fence before
      * @param holdMillis the hold of the grant, in milliseconds from its arrival at the server
      * @param handover the handover text of the predecessor's release; empty for none
+     * @param sendBeforeNanos when the call must no longer be sent, by the monotonic clock; it then ends as expired
      */
     record SendGrant(
             long callId,
@@ -26,7 +27,8 @@
             long fence,
             boolean isRenewal,
             long holdMillis,
-            String handover)
+            String handover,
+            long sendBeforeNanos)
             implements KeyAction {}
 
     /**
@@ -37,8 +39,10 @@
      * @param firstKey the first key
      * @param lastKey the last key, inclusive
      * @param fence the fencing token of the grant that follows
+     * @param sendBeforeNanos when the call must no longer be sent, by the monotonic clock; it then ends as expired
      */
-    record SendRelease(long callId, Owner owner, int firstKey, int lastKey, long fence) implements KeyAction {}
+    record SendRelease(long callId, Owner owner, int firstKey, int lastKey, long fence, long sendBeforeNanos)
+            implements KeyAction {}
 
     /** Writes {@code map} if the stored map is still at {@code expectedRevision}; 0 means that none is stored. */
     record WriteMap(KeyMap map, long expectedRevision) implements KeyAction {}
--- a/daisyscale-core/src/main/java/org/daisyscale/core/keys/KeyController.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/keys/KeyController.java
@@ -15,8 +15,16 @@
  */
 public interface KeyController {
 
+    /**
+     * Handles {@code events}, which occurred in this order, at {@code nowNanos} of the monotonic clock and returns the
+     * actions to take, in order. Plans once for all of them, so that a controller that is behind catches up.
+     */
+    List<KeyAction> handle(List<KeyEvent> events, long nowNanos);
+
     /** Handles {@code event} at {@code nowNanos} of the monotonic clock and returns the actions to take, in order. */
-    List<KeyAction> handle(KeyEvent event, long nowNanos);
+    default List<KeyAction> handle(KeyEvent event, long nowNanos) {
+        return handle(List.of(event), nowNanos);
+    }
 
     /**
      * Returns when {@link KeyEvent.TimePassed} is due next, in nanoseconds of the monotonic clock;
--- a/daisyscale-core/src/main/java/org/daisyscale/core/keys/KeyEvent.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/keys/KeyEvent.java
@@ -45,6 +45,9 @@
     /** The call got no answer; the server may have received it if {@code wasSent}. */
     record CallUnanswered(long callId, boolean wasSent) implements KeyEvent {}
 
+    /** This router did not send the call in time, which says nothing about the server. */
+    record CallExpired(long callId) implements KeyEvent {}
+
     /** The server released the range of the call; {@code handover} is empty if the server gave none. */
     record Released(long callId, String handover) implements KeyEvent {}
 
--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/AttemptOutcome.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/AttemptOutcome.java
@@ -14,6 +14,8 @@
     REFUSED(false),
     /** No byte of the request was sent because no connection could be opened. */
     NOT_SENT(false),
+    /** No byte of the request was sent in time because this router is overloaded. */
+    EXPIRED(false),
     /** The server's port refused the connection because its process is gone. */
     CONNECTION_REFUSED(false),
     /** The connection closed after the request was sent. */
@@ -34,6 +36,6 @@
 
     /** Returns whether the request reached the server. */
     public boolean reachedServer() {
-        return this != NOT_SENT && this != CONNECTION_REFUSED;
+        return this != NOT_SENT && this != EXPIRED && this != CONNECTION_REFUSED;
     }
 }
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/GrantNetwork.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/GrantNetwork.java
@@ -49,7 +49,7 @@
 
     /**
      * Delays some grants by up to {@code maxMillis}, as lost packets and slow links do. A grant that arrives after its
-     * timeout takes effect without an answer.
+     * timeout takes effect without an answer; its hold counts from its arrival at the time of the timeout.
      */
     void delayGrants(double maxMillis) {
         maxGrantDelayMillis = maxMillis;
@@ -62,29 +62,29 @@
             time.after(NETWORK_DELAY_MILLIS + delayMillis, () -> deliver(grant));
         } else {
             time.after(GRANT_TIMEOUT_MILLIS, () -> answers.accept(new KeyEvent.CallUnanswered(grant.callId(), true)));
-            time.after(delayMillis, () -> takeEffectLate(grant));
+            time.after(delayMillis, () -> takeEffectLate(grant, (long) (delayMillis - GRANT_TIMEOUT_MILLIS)));
         }
     }
 
-    private void takeEffectLate(KeyAction.SendGrant grant) {
+    private void takeEffectLate(KeyAction.SendGrant grant, long lateMillis) {
         ReplayedServer server = serverByHost.get(grant.owner().host());
         String process = grant.owner().host() + '#' + server.incarnation();
         boolean isSameProcess = !grant.isRenewal() || fences.wasGrantedTo(grant.fence(), process);
         if (!server.isDown()
                 && isSameProcess
                 && !server.hasSeenHigherFence(grant.firstKey(), grant.lastKey(), grant.fence())) {
-            take(grant, server, process);
+            take(grant, server, process, grant.holdMillis() - lateMillis);
         }
     }
 
-    private void take(KeyAction.SendGrant grant, ReplayedServer server, String process) {
+    private void take(KeyAction.SendGrant grant, ReplayedServer server, String process, long holdMillis) {
         serverByHost.values().stream()
                 .filter(other -> other != server && other.holdsAny(grant.firstKey(), grant.lastKey()))
                 .forEach(other -> result.recordDoubleOwner());
         if (!fences.recordGrant(grant.firstKey(), grant.lastKey(), grant.fence(), process)) {
             result.recordReusedFence();
         }
-        server.grant(grant.firstKey(), grant.lastKey(), grant.fence(), grant.holdMillis());
+        server.grant(grant.firstKey(), grant.lastKey(), grant.fence(), holdMillis);
     }
 
     private void deliver(KeyAction.SendGrant grant) {
@@ -106,7 +106,7 @@
             time.after(NETWORK_DELAY_MILLIS, () -> answers.accept(new KeyEvent.GrantRejected(grant.callId())));
             return;
         }
-        take(grant, server, process);
+        take(grant, server, process, grant.holdMillis());
         time.after(
                 NETWORK_DELAY_MILLIS,
                 () -> answers.accept(
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/AttemptSender.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/AttemptSender.java
@@ -25,6 +25,12 @@
      */
     private static final long TIMEOUT_MARGIN_MILLIS = 1_000;
 
+    /**
+     * How long an attempt may wait in this router before it is sent, in milliseconds: longer than the timeout for
+     * opening a connection. A caller that leaves meanwhile must not have its request sent long after.
+     */
+    private static final long MAX_UNSENT_MILLIS = 450;
+
     private final HttpLoop loop;
     private final BackendDialect dialect;
     private final Consumer<ServingEvent.AttemptEnded> onEnded;
@@ -47,6 +53,7 @@
         if (exchange.wasSentTo(server.id())) {
             call.requireNewConnection();
         }
+        call.expireUnsentAt(System.nanoTime() + MAX_UNSENT_MILLIS * 1_000_000L);
         exchange.startAttempt(server.id(), call);
         loop.start(call);
     }
@@ -90,6 +97,7 @@
     private static AttemptOutcome outcomeOf(HttpCall.Failure failure) {
         return switch (failure) {
             case NOT_SENT, UNPROVED -> AttemptOutcome.NOT_SENT;
+            case EXPIRED -> AttemptOutcome.EXPIRED;
             case CONNECTION_REFUSED -> AttemptOutcome.CONNECTION_REFUSED;
             case LOST -> AttemptOutcome.LOST;
             case SPOILED -> AttemptOutcome.SPOILED;
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ConnectionPool.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ConnectionPool.java
@@ -46,10 +46,10 @@
     private void handleConnected(HttpConnection connection, HttpCall call, ChannelFuture connected) {
         if (!connected.isSuccess()) {
             Connector.fail(call, connected.cause());
-        } else if (call.isOver()) {
-            idle.addFirst(connection);
-        } else {
+        } else if (call.maySend()) {
             connection.send(call);
+        } else {
+            idle.addFirst(connection);
         }
     }
 
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpCall.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpCall.java
@@ -17,6 +17,11 @@
  * what has been received.
  */
 public final class HttpCall {
+    /** Delay of another check while the event loop is behind, in milliseconds, in which it reads what has arrived. */
+    private static final long LATE_CHECK_MILLIS = 50;
+    /** Limits the additional checks, so that a call ends even if the event loop stays behind. */
+    private static final int MAX_LATE_CHECKS = 3;
+
     private final Address address;
     private final FullHttpRequest request;
     private final CallTimeouts timeouts;
@@ -26,6 +31,10 @@
     private boolean isOver;
     private boolean wasWritten;
     private boolean needsNewConnection;
+    private boolean hasSendLimit;
+    private long sendBeforeNanos;
+    private long checkDueNanos;
+    private int lateChecks;
     private final long startNanos = System.nanoTime();
     private final AtomicLong receivedBytes = new AtomicLong();
     private volatile boolean hasBegun;
@@ -88,6 +97,23 @@
         return isOver;
     }
 
+    /**
+     * Makes the call end as {@link Failure#EXPIRED} unless it is sent before {@code nanos} of the monotonic clock. Must
+     * be called before the call is started.
+     */
+    void expireUnsentAt(long nanos) {
+        hasSendLimit = true;
+        sendBeforeNanos = nanos;
+    }
+
+    /** Returns whether the call may be sent now; ends it if it has waited in this router for too long. */
+    boolean maySend() {
+        if (!isOver && hasSendLimit && System.nanoTime() - sendBeforeNanos >= 0) {
+            end(Failure.EXPIRED, "not sent within %d ms of its start".formatted(millisSince(startNanos)));
+        }
+        return !isOver;
+    }
+
     /** Records that bytes of the request may be sent through {@code newChannel} from now on. */
     void markWritten(Channel newChannel) {
         channel = newChannel;
@@ -133,12 +159,25 @@
         }
         long leftMillis = timeouts.remainingMillis(millisSince(startNanos), hasBegun, millisSince(lastReceivedNanos));
         if (leftMillis > 0) {
-            loop.schedule(() -> checkTimeout(loop), leftMillis, TimeUnit.MILLISECONDS);
+            scheduleCheck(loop, leftMillis);
+        } else if (lateChecks < MAX_LATE_CHECKS && isLoopLate()) {
+            lateChecks++;
+            scheduleCheck(loop, LATE_CHECK_MILLIS);
         } else {
             endTimedOut();
         }
     }
 
+    private void scheduleCheck(EventLoop loop, long delayMillis) {
+        checkDueNanos = System.nanoTime() + delayMillis * 1_000_000L;
+        loop.schedule(() -> checkTimeout(loop), delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Returns whether the event loop is behind, so that the response may have arrived without being read yet. */
+    private boolean isLoopLate() {
+        return wasWritten && System.nanoTime() - checkDueNanos >= LATE_CHECK_MILLIS * 1_000_000L;
+    }
+
     private static long millisSince(long nanos) {
         return (System.nanoTime() - nanos) / 1_000_000L;
     }
@@ -167,6 +206,8 @@
     public enum Failure {
         /** No byte was sent. */
         NOT_SENT,
+        /** No byte was sent, because this router did not get to it in time, which says nothing about the other side. */
+        EXPIRED,
         /** No byte was sent, because the port refused the connection. */
         CONNECTION_REFUSED,
         /**
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpLoop.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpLoop.java
@@ -91,7 +91,7 @@
     public void startPinned(HttpCall call, long pin, boolean isBound) {
         execute(call, () -> {
             call.checkTimeout(loop);
-            if (!call.isOver()) {
+            if (call.maySend()) {
                 pinnedByAddress
                         .computeIfAbsent(call.address(), address -> new PinnedConnection(connector(address)))
                         .send(call, pin, isBound);
@@ -113,7 +113,7 @@
 
     private void startPooled(HttpCall call) {
         call.checkTimeout(loop);
-        if (!call.isOver()) {
+        if (call.maySend()) {
             poolByAddress
                     .computeIfAbsent(call.address(), address -> new ConnectionPool(connector(address)))
                     .send(call);
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/KeyDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/KeyDuty.java
@@ -1,6 +1,9 @@
 package org.daisyscale.router.internal.serving;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.daisyscale.core.keys.KeyAction;
 import org.daisyscale.core.keys.KeyController;
@@ -15,6 +18,8 @@
 /** Owns the control of the keys and makes its calls to backend servers. Not thread-safe; confined to one thread. */
 final class KeyDuty {
     private static final Duration MAX_WAIT = Duration.ofSeconds(1);
+    /** Limit of the events that are handled together, so that grants stay due while events keep arriving. */
+    private static final int MAX_BATCH = 256;
     /** Timeout of a grant, in milliseconds: a server responds to grants at once. */
     private static final long GRANT_TIMEOUT_MILLIS = 500;
     /** Timeout of a release, in milliseconds: a server first completes the work on the keys. */
@@ -45,13 +50,19 @@
         this.metrics = metrics;
     }
 
-    /** Waits for an event or the next due time, and runs the resulting actions. */
+    /** Waits for an event or the next due time, and runs the actions that result from all waiting events together. */
     void runStep() throws InterruptedException {
         long dueNanos = controller.nextDueNanos();
         long waitNanos = dueNanos == Long.MAX_VALUE ? MAX_WAIT.toNanos() : dueNanos - System.nanoTime();
         Duration wait = Duration.ofNanos(Math.max(0, Math.min(waitNanos, MAX_WAIT.toNanos())));
-        KeyEvent event = events.poll(wait).orElseGet(KeyEvent.TimePassed::new);
-        controller.handle(event, System.nanoTime()).forEach(this::run);
+        List<KeyEvent> batch = new ArrayList<>();
+        batch.add(events.poll(wait).orElseGet(KeyEvent.TimePassed::new));
+        Optional<KeyEvent> next = events.poll(Duration.ZERO);
+        while (next.isPresent()) {
+            batch.add(next.get());
+            next = batch.size() < MAX_BATCH ? events.poll(Duration.ZERO) : Optional.empty();
+        }
+        controller.handle(batch, System.nanoTime()).forEach(this::run);
     }
 
     private void run(KeyAction action) {
@@ -75,9 +86,7 @@
         HttpCall httpCall = createCall(grant.owner(), call, GRANT_TIMEOUT_MILLIS, end -> {
             boolean isTaken = end.isAnswered() && end.reply().status() == HttpStatusCodes.OK;
             boolean isRefused = end.isAnswered() && dialect.isFenceTooLow(end.reply());
-            boolean isUnproved = end.failure() == HttpCall.Failure.UNPROVED;
-            String result = isTaken ? "taken" : isRefused ? "fence-too-low" : isUnproved ? "unproved" : "unanswered";
-            metrics.keyCallEnded(result);
+            metrics.keyCallEnded(isTaken ? "taken" : isRefused ? "fence-too-low" : result(end));
             if (!isTaken) {
                 logEnd("grant-failed", grant.owner(), grant.firstKey(), grant.lastKey(), grant.fence(), end);
             }
@@ -85,12 +94,13 @@
                 putEvent(new KeyEvent.GrantAccepted(grant.callId()));
             } else if (isRefused) {
                 putEvent(new KeyEvent.GrantRejected(grant.callId()));
-            } else if (isUnproved) {
+            } else if (end.failure() == HttpCall.Failure.UNPROVED) {
                 putEvent(new KeyEvent.RenewalUnverified(grant.callId()));
             } else {
-                putEvent(new KeyEvent.CallUnanswered(grant.callId(), wasSent(end)));
+                putUnanswered(grant.callId(), end);
             }
         });
+        httpCall.expireUnsentAt(grant.sendBeforeNanos());
         loop.startPinned(httpCall, grant.fence(), grant.isRenewal());
     }
 
@@ -98,7 +108,7 @@
         WireCall call = dialect.release(release.firstKey(), release.lastKey(), release.fence());
         HttpCall httpCall = createCall(release.owner(), call, RELEASE_TIMEOUT_MILLIS, end -> {
             boolean isReleased = end.isAnswered() && end.reply().status() == HttpStatusCodes.OK;
-            metrics.keyCallEnded(isReleased ? "released" : "release-unanswered");
+            metrics.keyCallEnded(isReleased ? "released" : "release-" + result(end));
             logEnd(
                     isReleased ? "range-released" : "release-failed",
                     release.owner(),
@@ -112,12 +122,27 @@
             } else if (end.isAnswered() && dialect.isFromAnotherProcess(end.reply())) {
                 putEvent(new KeyEvent.OwnerGone(release.callId()));
             } else {
-                putEvent(new KeyEvent.CallUnanswered(release.callId(), wasSent(end)));
+                putUnanswered(release.callId(), end);
             }
         });
+        httpCall.expireUnsentAt(release.sendBeforeNanos());
         loop.start(httpCall);
     }
 
+    private static String result(HttpCall.End end) {
+        if (end.failure() == HttpCall.Failure.UNPROVED) {
+            return "unproved";
+        }
+        return end.failure() == HttpCall.Failure.EXPIRED ? "expired" : "unanswered";
+    }
+
+    private void putUnanswered(long callId, HttpCall.End end) {
+        putEvent(
+                end.failure() == HttpCall.Failure.EXPIRED
+                        ? new KeyEvent.CallExpired(callId)
+                        : new KeyEvent.CallUnanswered(callId, wasSent(end)));
+    }
+
     private HttpCall createCall(Owner owner, WireCall call, long timeoutMillis, Consumer<HttpCall.End> onEnd) {
         Address address = new Address(owner.host(), owner.port());
         return new HttpCall(address, StoreClient.request(call, address), timeoutMillis, dialect::match, onEnd);
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/PinnedConnection.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/PinnedConnection.java
@@ -34,7 +34,7 @@
     private void sendNext() {
         while (!isBusy && !pendingCalls.isEmpty()) {
             PendingCall next = pendingCalls.poll();
-            if (!next.call().isOver()) {
+            if (next.call().maySend()) {
                 send(next);
             }
         }
@@ -69,10 +69,10 @@
             if (!connected.isSuccess()) {
                 Connector.fail(next.call(), connected.cause());
                 handleClosed(opened);
-            } else if (next.call().isOver()) {
-                release(opened);
-            } else {
+            } else if (next.call().maySend()) {
                 write(next);
+            } else {
+                release(opened);
             }
         });
     }
