Count a request's time from its arrival and never send it after that (GONE)

The time left counts from the arrival now, and an attempt waits at most 300 ms unsent, or the time left.

--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
@@ -102,7 +102,7 @@
             reject(requestId, CoreErrorCode.OVERLOADED, detail, RETRY_AFTER_JITTER_MILLIS);
             return;
         }
-        open(requestId, head, route.get(), nowNanos);
+        open(arrived, route.get(), nowNanos);
     }
 
     private static long callerTimeoutMillis(RequestHead head) {
@@ -114,12 +114,19 @@
         return Math.min(MAX_UNREAD_MILLIS, callerTimeoutMillis(head) * MAX_UNREAD_FRACTION);
     }
 
-    private void open(long requestId, RequestHead head, Route route, long nowNanos) {
+    private void open(ServingEvent.RequestArrived arrived, Route route, long nowNanos) {
+        long requestId = arrived.requestId();
+        RequestHead head = arrived.head();
         long callerTimeoutMillis = callerTimeoutMillis(head);
         long timeoutMillis = Math.min(callerTimeoutMillis - REPLY_MARGIN_MILLIS, route.timeoutMillis());
         String service = splitter.next(route);
-        OpenRequest request =
-                new OpenRequest(requestId, head, route, service, nowNanos, nowNanos + timeoutMillis * 1_000_000L);
+        OpenRequest request = new OpenRequest(
+                requestId,
+                head,
+                route,
+                service,
+                arrived.arrivedNanos(),
+                arrived.arrivedNanos() + timeoutMillis * 1_000_000L);
         retryBudget.recordRequest(service, nowNanos);
         openById.put(requestId, request);
         timers.schedule(request.deadlineNanos(), requestId, Purpose.DEADLINE);
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/RequestRouterTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/RequestRouterTest.java
@@ -117,6 +117,30 @@
         assertThat(rejection(late)).isEqualTo(CoreErrorCode.OVERLOADED);
     }
 
+    @Test
+    void shouldCountTheTimeOfARequestFromItsArrival() {
+        useTable();
+        addServers("s1");
+        RequestHead head = new RequestHead("h", "/pay/1", 1_500, RequestHead.NO_KEY, 0, "id");
+
+        List<ServingAction> actions = handle(new ServingEvent.RequestArrived(1, head, nowNanos - 400 * MILLI));
+
+        assertThat(sentAttempt(actions).timeLeftMillis()).isEqualTo(400);
+    }
+
+    /** Guards against requests that wait in an overloaded router and reach a server after their callers have left. */
+    @Test
+    void shouldRejectARequestThatWasNotSentInTimeAndNotBlameTheServer() {
+        useTable();
+        addServers("s1");
+        arrive(1, "/read/1");
+
+        List<ServingAction> expired = endAttempt(1, 1, AttemptOutcome.EXPIRED);
+
+        assertThat(rejection(expired)).isEqualTo(CoreErrorCode.OVERLOADED);
+        assertThat(sentAttempt(arrive(2, "/read/2")).server().id()).isEqualTo("s1");
+    }
+
     @Test
     void shouldRejectAPathWithoutARoute() {
         useTable();
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/AttemptSender.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/AttemptSender.java
@@ -26,10 +26,10 @@
     private static final long TIMEOUT_MARGIN_MILLIS = 1_000;
 
     /**
-     * How long an attempt may wait in this router before it is sent, in milliseconds: longer than the timeout for
-     * opening a connection. A caller that leaves meanwhile must not have its request sent long after.
+     * How long an attempt may wait in this router before it is sent, in milliseconds. A caller that leaves meanwhile
+     * must not have its request sent long after.
      */
-    private static final long MAX_UNSENT_MILLIS = 450;
+    private static final long MAX_UNSENT_MILLIS = 300;
 
     private final HttpLoop loop;
     private final BackendDialect dialect;
@@ -53,7 +53,8 @@
         if (exchange.wasSentTo(server.id())) {
             call.requireNewConnection();
         }
-        call.expireUnsentAt(System.nanoTime() + MAX_UNSENT_MILLIS * 1_000_000L);
+        long maxUnsentMillis = Math.min(MAX_UNSENT_MILLIS, action.timeLeftMillis());
+        call.expireUnsentAt(System.nanoTime() + maxUnsentMillis * 1_000_000L);
         exchange.startAttempt(server.id(), call);
         loop.start(call);
     }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ConfirmedWatchGuard.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ConfirmedWatchGuard.java
@@ -17,12 +17,12 @@
     /** Wait of a watch without confirmations, in milliseconds. */
     static final long UNCONFIRMED_WAIT_MILLIS = 900;
     /**
-     * Wait of a watch on the controller, in milliseconds: two waits fit into the confirmation timeout of the other
-     * routers.
+     * Wait of a watch on the controller, in milliseconds: two waits, with the time in which changes are batched, fit
+     * into the confirmation timeout of the other routers.
      */
     static final long CONTROLLER_WAIT_MILLIS = 400;
     /** How long a watch may stay unconfirmed, in milliseconds: with two reads after it, the total is below 2 s. */
-    static final long CONFIRMATION_TIMEOUT_MILLIS = 1_200;
+    static final long CONFIRMATION_TIMEOUT_MILLIS = 1_400;
     /** Wait of a confirmed watch, in milliseconds; the store allows 30 s. */
     static final long CONFIRMED_WAIT_MILLIS = 20_000;
     /**
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/peer/PeerOutboxTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/peer/PeerOutboxTest.java
@@ -5,13 +5,19 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.daisyscale.core.peer.PeerMessage;
 import org.daisyscale.core.peer.PeerMessage.PermitCancelled;
 import org.daisyscale.core.peer.PeerMessage.Ping;
 import org.daisyscale.core.peer.PeerMessage.RangeReport;
+import org.daisyscale.core.platform.CoordinationStore;
+import org.daisyscale.core.platform.PrefixChange;
+import org.daisyscale.core.serving.KeyAssignment;
+import org.daisyscale.core.serving.KeyMapChange;
 import org.junit.jupiter.api.Test;
 
 class PeerOutboxTest {
+    private static final KeyAssignment.Owner OWNER = new KeyAssignment.Owner("s1", 1, "10.0.0.1", 80);
 
     @Test
     void shouldKeepOnlyTheNewestPing() {
@@ -35,6 +41,35 @@
         assertThat(pollAll(outbox)).containsExactly(first, second);
     }
 
+    /** Guards against routers that miss a move of keys because a later one replaced it on a slow link. */
+    @Test
+    void shouldJoinChangesOfAKeyMapThatFollowEachOther() {
+        PeerOutbox outbox = openOutbox();
+        KeyAssignment first = KeyAssignment.first(0, 9, OWNER, 1);
+        KeyAssignment second = KeyAssignment.first(10, 19, OWNER, 2);
+
+        outbox.offer(new PeerMessage.KeyMapChanged(new KeyMapChange("stock", 1, 0, 2, 0, 9, List.of(first))));
+        outbox.offer(new PeerMessage.KeyMapChanged(new KeyMapChange("stock", 2, 0, 3, 0, 9, List.of(second))));
+
+        assertThat(pollAll(outbox))
+                .containsExactly(new PeerMessage.KeyMapChanged(
+                        new KeyMapChange("stock", 1, 0, 3, 0, 9, List.of(first, second))));
+    }
+
+    @Test
+    void shouldJoinChangesUnderAPrefixThatFollowEachOther() {
+        PeerOutbox outbox = openOutbox();
+        CoordinationStore.Item item = new CoordinationStore.Item("servers/a", new byte[0], 5);
+
+        outbox.offer(
+                new PeerMessage.PrefixChanged(new PrefixChange("servers/", 3, 5, List.of(item), Set.of("servers/b"))));
+        outbox.offer(new PeerMessage.PrefixChanged(new PrefixChange("servers/", 5, 7, List.of(), Set.of("servers/a"))));
+
+        assertThat(pollAll(outbox))
+                .containsExactly(new PeerMessage.PrefixChanged(
+                        new PrefixChange("servers/", 3, 7, List.of(), Set.of("servers/a", "servers/b"))));
+    }
+
     @Test
     void shouldRejectAPermitMessageOverTheLimitAndKeepTheOthers() {
         PeerOutbox outbox = openOutbox();
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ControllerLinkTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ControllerLinkTest.java
@@ -2,15 +2,22 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
+import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.daisyscale.core.keys.KeyEvent;
 import org.daisyscale.core.keys.KeyLoad;
+import org.daisyscale.core.serving.KeyAssignment;
+import org.daisyscale.core.serving.KeyAssignment.Owner;
 import org.daisyscale.core.serving.KeyMap;
+import org.daisyscale.core.serving.ServingEvent;
 import org.daisyscale.router.internal.ring.ArrayRing;
 import org.daisyscale.router.serving.ServingRouterSettings.Address;
 import org.junit.jupiter.api.Test;
@@ -50,6 +57,64 @@
         }
     }
 
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private static ControllerLink openLink(RouterEntry router, BlockingQueue<ServingEvent> servingEvents) {
+        return new ControllerLink(
+                router.routerId(),
+                new Address(router.host(), router.port()),
+                servingEvents::add,
+                event -> {},
+                new ArrayRing<>("updates", 4));
+    }
+
+    private static KeyMap nextMap(BlockingQueue<ServingEvent> servingEvents) throws InterruptedException {
+        ServingEvent event = servingEvents.poll(10, TimeUnit.SECONDS);
+        assertThat(event).isInstanceOf(ServingEvent.KeyMapChanged.class);
+        return ((ServingEvent.KeyMapChanged) event).map();
+    }
+
+    private static KeyMap map(int progress, KeyAssignment... assignments) {
+        return new KeyMap("s", 1, progress, 9, List.of(assignments));
+    }
+
+    /** Guards against routers that serve by an older map because only the changes are sent. */
+    @Test
+    void shouldGiveARouterEachKeyMapAlthoughOnlyChangesAreSentAfterTheFirst() throws Exception {
+        RouterEntry controller = new RouterEntry("r1", "127.0.0.1", freePort(), 7, 1);
+        RouterEntry other = new RouterEntry("r2", "127.0.0.1", freePort(), 8, 1);
+        Owner owner = new Owner("s1", 1, "10.0.0.1", 80);
+        KeyAssignment low = KeyAssignment.first(0, 9, owner, 1);
+        KeyAssignment high = KeyAssignment.first(10, KeyMap.KEY_COUNT - 1, owner, 2);
+        BlockingQueue<ServingEvent> atController = new LinkedBlockingQueue<>();
+        BlockingQueue<ServingEvent> atOther = new LinkedBlockingQueue<>();
+        try (ControllerLink sender = openLink(controller, atController);
+                ControllerLink receiver = openLink(other, atOther)) {
+            for (ControllerLink link : List.of(sender, receiver)) {
+                link.addRouter(controller);
+                link.addRouter(other);
+                link.setController(controller);
+                link.startNetwork("a secret of the test");
+            }
+            sender.publish(map(0, low, high));
+            assertThat(nextMap(atOther)).isEqualTo(map(0, low, high));
+
+            sender.publish(map(1, low.settled(), high));
+            sender.publish(map(2, low.settled(), high.settled()));
+
+            KeyMap received = nextMap(atOther);
+            if (received.progress() == 1) {
+                assertThat(received).isEqualTo(map(1, low.settled(), high));
+                received = nextMap(atOther);
+            }
+            assertThat(received).isEqualTo(map(2, low.settled(), high.settled()));
+        }
+    }
+
     private static void await(CountDownLatch latch) {
         try {
             assertThat(latch.await(10, TimeUnit.SECONDS)).isTrue();
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/PinnedConnectionTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/PinnedConnectionTest.java
@@ -37,10 +37,15 @@
     }
 
     private BlockingQueue<HttpCall.End> call(long pin, boolean isBound) {
+        return call(pin, isBound, 2_000);
+    }
+
+    private BlockingQueue<HttpCall.End> call(long pin, boolean isBound, long maxUnsentMillis) {
         BlockingQueue<HttpCall.End> ends = new ArrayBlockingQueue<>(1);
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/" + pin);
         Address address = new Address("127.0.0.1", listener.getLocalPort());
         HttpCall httpCall = new HttpCall(address, request, 2_000, (sent, got) -> AnswerMatch.THIS_REQUEST, ends::add);
+        httpCall.expireUnsentAt(System.nanoTime() + maxUnsentMillis * 1_000_000L);
         loop.startPinned(httpCall, pin, isBound);
         return ends;
     }
@@ -125,6 +130,22 @@
         }
     }
 
+    /** Guards against grants that leave after the controller's lease has ended. */
+    @Test
+    void shouldNotSendACallThatHasWaitedTooLongBehindAnother() throws Exception {
+        BlockingQueue<HttpCall.End> first = call(1, false);
+        BlockingQueue<HttpCall.End> second = call(2, false, 100);
+        try (Socket socket = listener.accept()) {
+            readTarget(socket);
+            Thread.sleep(200);
+            answer(socket);
+
+            assertThat(end(first).isAnswered()).isTrue();
+            assertThat(end(second).failure()).isEqualTo(HttpCall.Failure.EXPIRED);
+            assertThat(socket.getInputStream().available()).isZero();
+        }
+    }
+
     @Test
     void shouldContinueAfterACallWithoutResponse() throws Exception {
         BlockingQueue<HttpCall.End> first = call(1, false);
