Repeat a request at an owner that sheds although it has room

A keyed request was rejected at the first such answer and its caller sent away for 150 to 300 ms, about the whole objective. It is repeated at its owner within the retry budget, three attempts at most, and a caller is told to come back after 20 to 40 ms, since waiting does not help.

Renewals leave enough of a long hold for a successor, and the wait of weaker VMs for control is 300 ms.

--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/RangeCallCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/RangeCallCoordinator.java
@@ -23,6 +23,8 @@
      * How long before the end of its hold a grant is renewed, in milliseconds, so that two renewals may go unanswered.
      */
     private static final long RENEW_BEFORE_END_MILLIS = 1_730;
+    /** Fraction of a long hold after which it is renewed: the rest has to last until another controller renews it. */
+    private static final double MAX_RENEW_FRACTION = 0.45;
     /**
      * Delay before an unanswered grant is retried, and step of the linear backoff of releases, in milliseconds: a lost
      * packet is retransmitted by then.
@@ -153,7 +155,7 @@
         boolean isRenewal = state.fence != NO_FENCE;
         state.fence = isRenewal ? state.fence : fences.take();
         state.grantCallId = callIds.next();
-        state.grantDueNanos = nowNanos + Math.max(RETRY_MILLIS, holdMillis - RENEW_BEFORE_END_MILLIS) * 1_000_000L;
+        state.grantDueNanos = nowNanos + renewAfterMillis(holdMillis) * 1_000_000L;
         callById.put(state.grantCallId, new PendingCall(assignment, assignment.owner(), true, term));
         holds.recordGrant(state.grantCallId, assignment, state.fence, holdMillis, nowNanos);
         String handover = state.isGranted
@@ -174,6 +176,11 @@
                 terms.sendBeforeNanos()));
     }
 
+    private static long renewAfterMillis(long holdMillis) {
+        long latestMillis = Math.max(RETRY_MILLIS, holdMillis - RENEW_BEFORE_END_MILLIS);
+        return Math.min(latestMillis, (long) (holdMillis * MAX_RENEW_FRACTION));
+    }
+
     /** Makes the grants of all ranges due now, so that they are renewed for a longer hold. */
     void renewAllNow(long nowNanos) {
         stateByRange.values().forEach(state -> state.grantDueNanos = nowNanos);
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
@@ -42,6 +42,11 @@
     /** Jitter added to retry-after advice, in milliseconds, so that callers rejected together don't retry together. */
     private static final long RETRY_AFTER_JITTER_MILLIS = 150;
 
+    /** Retry-after advice after a server with room shed the request, in milliseconds: waiting does not help. */
+    private static final long SHED_RETRY_AFTER_MILLIS = 20;
+    /** Attempts of one request at the owner of its key while that sheds at random. */
+    private static final int MAX_ATTEMPTS_AT_OWNER = 3;
+
     private final FleetView fleet;
     private final UniformRandomProvider random;
     private final Placer pooledPlacer;
@@ -227,28 +232,37 @@
         request.endAttempt(outcome.mayHaveRun(), outcome.reachedServer());
         if (outcome == AttemptOutcome.ANSWERED) {
             deliver(request);
-        } else if (mayRetry(request, outcome, nowNanos)) {
+        } else if (mayRetry(request, ended, nowNanos)) {
             place(request, nowNanos);
         } else {
-            endAfterFailure(request, outcome, serverId);
+            endAfterFailure(request, ended, serverId);
         }
     }
 
-    private boolean mayRetry(OpenRequest request, AttemptOutcome outcome, long nowNanos) {
+    /** Returns whether the server rejected the request as full although it reports room: it sheds at random. */
+    private static boolean isShedAtRandom(ServingEvent.AttemptEnded ended) {
+        return ended.outcome() == AttemptOutcome.REFUSED_FULL
+                && ended.load().filter(load -> load.waitingCount() == 0).isPresent();
+    }
+
+    private boolean mayRetry(OpenRequest request, ServingEvent.AttemptEnded ended, long nowNanos) {
+        AttemptOutcome outcome = ended.outcome();
         if (request.mayHaveRun() && !request.route().isIdempotent()) {
             return false;
         }
         if (!outcome.reachedServer()) {
             return outcome != AttemptOutcome.EXPIRED;
         }
-        if (isKeyed(request) && outcome == AttemptOutcome.REFUSED_FULL) {
+        boolean isRepeatableAtOwner = isShedAtRandom(ended) && request.attemptCount() < MAX_ATTEMPTS_AT_OWNER;
+        if (isKeyed(request) && outcome == AttemptOutcome.REFUSED_FULL && !isRepeatableAtOwner) {
             return false;
         }
         return request.triedCount() < request.route().maxBackends()
                 && retryBudget.trySpend(request.service(), fleet.ownFraction(nowNanos), nowNanos);
     }
 
-    private void endAfterFailure(OpenRequest request, AttemptOutcome outcome, String serverId) {
+    private void endAfterFailure(OpenRequest request, ServingEvent.AttemptEnded ended, String serverId) {
+        AttemptOutcome outcome = ended.outcome();
         if (outcome == AttemptOutcome.FAILED) {
             deliver(request);
             return;
@@ -258,7 +272,8 @@
             rejectOpen(request, new Placement.Reject(CoreErrorCode.OVERLOADED, detail, RETRY_AFTER_JITTER_MILLIS));
             return;
         }
-        rejectOpen(request, new Placement.Reject(CoreErrorCode.REFUSED_BY_SERVER, detail, RETRY_AFTER_JITTER_MILLIS));
+        long retryAfterMillis = isShedAtRandom(ended) ? SHED_RETRY_AFTER_MILLIS : RETRY_AFTER_JITTER_MILLIS;
+        rejectOpen(request, new Placement.Reject(CoreErrorCode.REFUSED_BY_SERVER, detail, retryAfterMillis));
     }
 
     private void deliver(OpenRequest request) {
@@ -277,7 +292,8 @@
     }
 
     private void reject(long requestId, CoreErrorCode reason, String detail, long retryAfterMillis) {
-        long jitteredMillis = retryAfterMillis == 0 ? 0 : retryAfterMillis + random.nextLong(RETRY_AFTER_JITTER_MILLIS);
+        long jitterMillis = Math.min(retryAfterMillis, RETRY_AFTER_JITTER_MILLIS);
+        long jitteredMillis = jitterMillis == 0 ? 0 : retryAfterMillis + random.nextLong(jitterMillis);
         actions.add(new ServingAction.Reject(requestId, reason, detail, jitteredMillis));
     }
 
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/ReplayedServer.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/ReplayedServer.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BiConsumer;
+import org.apache.commons.rng.UniformRandomProvider;
 import org.daisyscale.core.serving.AttemptOutcome;
 import org.daisyscale.core.serving.BackendServer;
 import org.daisyscale.core.serving.LoadReport;
@@ -23,6 +24,8 @@
     private final List<Hold> acceptedGrants = new ArrayList<>();
     private double speed;
     private double noise = 1;
+    private double shedFraction;
+    private UniformRandomProvider shedRandom;
     private boolean isDown;
     private int incarnation = 1;
 
@@ -46,6 +49,12 @@
         noise = newNoise;
     }
 
+    /** Makes the server reject {@code fraction} of the requests at random, however busy it is. */
+    void shed(double fraction, UniformRandomProvider random) {
+        shedFraction = fraction;
+        shedRandom = random;
+    }
+
     void crash() {
         isDown = true;
         running.clear();
@@ -77,6 +86,8 @@
             onEnd.accept(AttemptOutcome.CONNECTION_REFUSED, Optional.empty());
         } else if (isSharded && !holdsKey(key)) {
             onEnd.accept(AttemptOutcome.REFUSED_NOT_OWNER, Optional.of(load()));
+        } else if (shedFraction > 0 && shedRandom.nextDouble() < shedFraction) {
+            onEnd.accept(AttemptOutcome.REFUSED_FULL, Optional.of(load()));
         } else if (running.size() < registration.slots()) {
             start(work);
         } else if (waiting.size() < QUEUE_LIMIT) {
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/WorstLoadReplayTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/WorstLoadReplayTest.java
@@ -11,6 +11,10 @@
 class WorstLoadReplayTest {
     private static final double[] UNEVEN_SPEEDS = {0.5, 1, 1, 1.5, 0.5, 1, 1, 1.5, 0.5, 1, 1, 1.5, 0.5, 1, 1, 1.5, 0.5};
     private static final int ROUTERS = 10;
+    private static final double SHED_FRACTION = 0.55;
+    /** The part of the requests that the routers may repeat: the retry ratio of the replay, and what they use of it. */
+    private static final double RETRIED_FRACTION = 0.2 * 0.66;
+
     private static final double WORK_MILLIS = 120;
     /** A hot key's first owner is fast or slow by chance; several seeds cover both cases. */
     private static final int HOT_KEY_SEEDS = 6;
@@ -81,6 +85,27 @@
         return replay.result();
     }
 
+    /**
+     * Servers that shed at random reject requests although they have room. A caller comes back once; repeats within the
+     * retry budget make up for a part of the rest.
+     */
+    @Test
+    void shouldRepeatRequestsAtOwnersThatShedAtRandom() {
+        FleetReplay replay = new FleetReplay(6, ROUTERS, UNEVEN_SPEEDS, true);
+        replay.time().runUntilMillis(3_000);
+        for (int server = 0; server < UNEVEN_SPEEDS.length; server++) {
+            replay.server("server-" + (10 + server)).shed(SHED_FRACTION, random);
+        }
+        replay.generateLoad(80, WORK_MILLIS, 33_000, skewedKeys());
+
+        replay.time().runUntilMillis(36_000);
+
+        double rejectedOnce = SHED_FRACTION - RETRIED_FRACTION * (1 - SHED_FRACTION);
+        assertThat(replay.result().answeredRatio())
+                .as(replay.result().toString())
+                .isGreaterThan(0.95 * (1 - rejectedOnce * rejectedOnce));
+    }
+
     @Test
     void shouldReassignTheKeysOfALostServer() {
         FleetReplay replay = new FleetReplay(3, ROUTERS, UNEVEN_SPEEDS, true);
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/LeaseDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/LeaseDuty.java
@@ -43,7 +43,7 @@
      * How long a router waits before it takes the control while a VM with more processor time is registered, in
      * milliseconds: enough for that one to take it first.
      */
-    private static final long DEFERENCE_MILLIS = 500;
+    private static final long DEFERENCE_MILLIS = 300;
     /** Delay after a failed call, in milliseconds. */
     private static final long RETRY_DELAY_MILLIS = 150;
     /**
