Read a caller's close before its request is decided on while the event loop is behind

Two turns of the loop, not one: a task that is scheduled in a turn may run at its end, before the closes are read. The lag of a loop counts as large until it has been measured for a second, and the largest lag of the last second counts, since what waited is read over several turns. Routers that don't control the keys wait longer after a failed call to the store: refused calls are paid for as well.

--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetWatchDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetWatchDuty.java
@@ -30,7 +30,7 @@
     /** Shortest and longest backoff after a failed call, in milliseconds. */
     private static final long MIN_BACKOFF_MILLIS = 40;
 
-    private static final long MAX_BACKOFF_MILLIS = 400;
+    private static final long MAX_BACKOFF_MILLIS = 800;
     /** Interval at which a router checks whether the controller has read further, in milliseconds. */
     private static final long PROGRESS_CHECK_MILLIS = 200;
     /**
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/LeaseDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/LeaseDuty.java
@@ -44,8 +44,10 @@
      * milliseconds: enough for that one to take it first.
      */
     private static final long DEFERENCE_MILLIS = 300;
-    /** Delay after a failed call, in milliseconds. */
-    private static final long RETRY_DELAY_MILLIS = 150;
+    /** Delay after a failed call while this router controls the keys, in milliseconds. */
+    private static final long CONTROL_RETRY_DELAY_MILLIS = 150;
+    /** Delay after a failed call of another router, in milliseconds: the registration lasts for several attempts. */
+    private static final long RETRY_DELAY_MILLIS = 600;
     /**
      * How long before its expiry a lease is treated as expired, in milliseconds: covers the transit time of the last
      * orders.
@@ -131,7 +133,7 @@
                 acquireControl();
             }
         } catch (StoreException e) {
-            delayMillis = RETRY_DELAY_MILLIS;
+            delayMillis = isController() ? CONTROL_RETRY_DELAY_MILLIS : RETRY_DELAY_MILLIS;
             registrationDueNanos = System.nanoTime();
             EventLog.info(
                     "lease-call-failed",
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/LoopLag.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/LoopLag.java
@@ -12,10 +12,15 @@
     /** Interval between samples, in milliseconds. */
     private static final long SAMPLE_INTERVAL_MILLIS = 100;
 
+    /** How long the largest lag counts as recent, in nanoseconds: what waited meanwhile is read after several turns. */
+    private static final long RECENT_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     private static final long SAMPLE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(SAMPLE_INTERVAL_MILLIS);
 
     private long dueNanos = System.nanoTime() + SAMPLE_INTERVAL_NANOS;
     private long lastLagNanos;
+    private long peakLagNanos = RECENT_NANOS;
+    private long peakNanos = System.nanoTime();
 
     private LoopLag() {}
 
@@ -28,6 +33,10 @@
 
     private void sample() {
         lastLagNanos = overdueNanos();
+        if (lastLagNanos >= recentLagNanos()) {
+            peakLagNanos = lastLagNanos;
+            peakNanos = System.nanoTime();
+        }
         dueNanos = System.nanoTime() + SAMPLE_INTERVAL_NANOS;
     }
 
@@ -42,4 +51,13 @@
     long lagNanos() {
         return Math.max(overdueNanos(), lastLagNanos);
     }
+
+    /**
+     * Returns the largest lag of the last second, in nanoseconds; a second during the first second, in which the lag
+     * before is unknown.
+     */
+    long recentLagNanos() {
+        boolean isPeakRecent = System.nanoTime() - peakNanos < RECENT_NANOS;
+        return Math.max(lagNanos(), isPeakRecent ? peakLagNanos : 0);
+    }
 }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingHandler.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingHandler.java
@@ -31,7 +31,7 @@
     private static final long RETRY_AFTER_MILLIS = 20;
     /**
      * Lag of an event loop above which a request waits for the next turn of the loop, in milliseconds: its caller may
-     * have left already, and the close is read only after the request.
+     * have left already, and the close is read only in the turn after the request.
      */
     private static final long LARGE_LAG_MILLIS = 100;
     /** Delay until the next turn of an event loop, in milliseconds. */
@@ -100,19 +100,23 @@
     }
 
     private Promise<Exchange.Outcome> decide(Request request, long requestId, byte[] body, Channel channel) {
-        long lagNanos = lags.of(channel.eventLoop()).lagNanos();
-        long arrivedNanos = System.nanoTime() - lagNanos;
-        if (lagNanos < LARGE_LAG_MILLIS * 1_000_000L) {
+        LoopLag lag = lags.of(channel.eventLoop());
+        long arrivedNanos = System.nanoTime() - lag.lagNanos();
+        if (lag.recentLagNanos() < LARGE_LAG_MILLIS * 1_000_000L) {
             return decide(request, requestId, body, channel, arrivedNanos);
         }
-        return Promise.<Boolean>async(downstream -> channel.eventLoop()
-                        .schedule(
-                                () -> downstream.success(channel.isActive()), NEXT_TURN_MILLIS, TimeUnit.MILLISECONDS))
+        return Promise.<Boolean>async(downstream -> scheduleNextTurn(
+                        channel, () -> scheduleNextTurn(channel, () -> downstream.success(channel.isActive()))))
                 .flatMap(isActive -> isActive
                         ? decide(request, requestId, body, channel, arrivedNanos)
                         : Promise.value(rejected(requestId, CoreErrorCode.OVERLOADED, "the caller has left")));
     }
 
+    /** Runs {@code task} at the end of this turn of the event loop; if called at the end of one, of the next. */
+    private static void scheduleNextTurn(Channel channel, Runnable task) {
+        channel.eventLoop().schedule(task, NEXT_TURN_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     private Promise<Exchange.Outcome> decide(
             Request request, long requestId, byte[] body, Channel channel, long arrivedNanos) {
         if (connections.isRejecting()) {
