Stop the control of the keys after a suspension of the VM until its lease is renewed

The monotonic clock doesn't count a suspension, so that a controller that was suspended took its lease for valid when it woke, for up to 1.3 s beside its successor. A jump of the time of day against the monotonic clock now ends control until a renewal that was sent after it; a renewal during which it happened doesn't count.

Endless chunk extensions and trailers join the cases of endless answers: they passed at once.

--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LeasedKeyController.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LeasedKeyController.java
@@ -78,6 +78,8 @@
                         .values()
                         .forEach(coordinator -> coordinator.calls().renewAllNow(nowNanos));
             }
+        } else if (event instanceof KeyEvent.LeaseUncertain) {
+            validUntilNanos = nowNanos;
         } else if (event instanceof KeyEvent.LeaseLost) {
             isLeading = false;
             isLeaseHeld = false;
--- a/daisyscale-core/src/main/java/org/daisyscale/core/keys/KeyEvent.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/keys/KeyEvent.java
@@ -12,6 +12,9 @@
     /** The lease could not be renewed in time; it stays valid until it expires. */
     record LeaseInDoubt() implements KeyEvent {}
 
+    /** The lease may have expired while this router's VM was suspended; it counts again once it is renewed. */
+    record LeaseUncertain() implements KeyEvent {}
+
     /** This router no longer holds the control lease. */
     record LeaseLost() implements KeyEvent {}
 
--- a/daisyscale-core/src/test/java/org/daisyscale/core/keys/KeyControllerTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/keys/KeyControllerTest.java
@@ -273,6 +273,18 @@
         assertThat(grants(actions)).hasSize(2).allMatch(KeyAction.SendGrant::isRenewal);
     }
 
+    @Test
+    void shouldStopControlAfterASuspensionUntilTheLeaseIsRenewed() {
+        leadWithTwoOwners();
+        handle(new KeyEvent.LeaseUncertain());
+        assertThat(grants(advance(1_000))).isEmpty();
+
+        List<KeyAction> actions = new ArrayList<>(handle(new KeyEvent.LeaseRenewed(nowNanos + 60_000 * MILLI)));
+        actions.addAll(advance(100));
+
+        assertThat(grants(actions)).hasSize(2);
+    }
+
     @Test
     void shouldReadTheMapAgainWhenItRegainsALostLease() {
         leadWithTwoOwners();
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/KeyDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/KeyDuty.java
@@ -32,6 +32,7 @@
     private final HttpLoop loop;
     private final BackendDialect dialect;
     private final ServingMetrics metrics;
+    private final SuspensionDetector suspensions = new SuspensionDetector();
 
     KeyDuty(
             KeyController controller,
@@ -56,7 +57,12 @@
         long waitNanos = dueNanos == Long.MAX_VALUE ? MAX_WAIT.toNanos() : dueNanos - System.nanoTime();
         Duration wait = Duration.ofNanos(Math.max(0, Math.min(waitNanos, MAX_WAIT.toNanos())));
         List<KeyEvent> batch = new ArrayList<>();
-        batch.add(events.poll(wait).orElseGet(KeyEvent.TimePassed::new));
+        KeyEvent first = events.poll(wait).orElseGet(KeyEvent.TimePassed::new);
+        if (suspensions.wasSuspended()) {
+            EventLog.warn("vm-suspended", "control of the keys stops until the lease is renewed");
+            batch.add(new KeyEvent.LeaseUncertain());
+        }
+        batch.add(first);
         Optional<KeyEvent> next = events.poll(Duration.ZERO);
         while (next.isPresent()) {
             batch.add(next.get());
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/LeaseDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/LeaseDuty.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.daisyscale.core.keys.KeyEvent;
 import org.daisyscale.core.platform.CoordinationStore;
 import org.daisyscale.core.platform.CoordinationStore.Change;
@@ -15,7 +16,6 @@
 import org.daisyscale.core.serving.ServingEvent;
 import org.daisyscale.router.internal.json.Json;
 import org.daisyscale.router.internal.log.EventLog;
-import org.daisyscale.router.serving.ServingRouterSettings.Address;
 import org.daisyscale.router.serving.StoreException;
 
 /**
@@ -57,12 +57,12 @@
     private static final int SECRET_BYTES = 24;
 
     private final CoordinationStore store;
-    private final String routerId;
-    private final Address peerAddress;
-    private final double cores;
+    private final RouterEntry self;
     private final Consumer<ServingEvent> servingEvents;
     private final Consumer<KeyEvent> keyEvents;
     private final Semaphore wakeUps = new Semaphore(0);
+    private final SuspensionDetector suspensions;
+    private final LongSupplier clockNanos;
     private volatile boolean isControllerKnown;
     private volatile boolean isControlled = true;
     private volatile boolean isSecretMissing;
@@ -77,17 +77,17 @@
 
     LeaseDuty(
             CoordinationStore store,
-            String routerId,
-            Address peerAddress,
-            double cores,
+            RouterEntry self,
             Consumer<ServingEvent> servingEvents,
-            Consumer<KeyEvent> keyEvents) {
+            Consumer<KeyEvent> keyEvents,
+            SuspensionDetector suspensions,
+            LongSupplier clockNanos) {
         this.store = store;
-        this.routerId = routerId;
-        this.peerAddress = peerAddress;
-        this.cores = cores;
+        this.self = self;
         this.servingEvents = servingEvents;
         this.keyEvents = keyEvents;
+        this.suspensions = suspensions;
+        this.clockNanos = clockNanos;
     }
 
     /**
@@ -96,7 +96,7 @@
      */
     void recordStoreState(boolean newIsControlled, boolean newIsSecretMissing) {
         if (!newIsControlled && (isControlled || !isControllerKnown)) {
-            uncontrolledSinceNanos = System.nanoTime();
+            uncontrolledSinceNanos = clockNanos.getAsLong();
         }
         isControllerKnown = true;
         isControlled = newIsControlled;
@@ -171,7 +171,7 @@
     }
 
     private void register() {
-        String key = StoreKeys.router(routerId);
+        String key = StoreKeys.router(self.routerId());
         long expected = store.get(key).map(Item::revision).orElse(0L);
         Change change = new Change(key, expected, entry(registrationLease), registrationLease);
         isRegistered = store.write(change).outcome() == WriteOutcome.ACCEPTED;
@@ -180,7 +180,7 @@
     }
 
     private byte[] entry(long leaseId) {
-        return Json.write(new RouterEntry(routerId, peerAddress.host(), peerAddress.port(), leaseId, cores));
+        return Json.write(self.withLease(leaseId));
     }
 
     private boolean isController() {
@@ -192,14 +192,24 @@
             return;
         }
         long sentNanos = System.nanoTime();
+        suspensions.wasSuspended();
         if (store.renewLease(controlLease)) {
-            keyEvents.accept(new KeyEvent.LeaseRenewed(validUntil(sentNanos, CONTROL_TIME_TO_LIVE_MILLIS)));
+            reportRenewal(sentNanos);
         } else {
             EventLog.warn("control-lost", "lease=" + controlLease);
             loseControl();
         }
     }
 
+    /** Reports a renewal that was sent at {@code sentNanos}, unless the VM was suspended since. */
+    private void reportRenewal(long sentNanos) {
+        if (suspensions.wasSuspended()) {
+            EventLog.warn("lease-renewal-ignored", "the VM was suspended meanwhile; lease=" + controlLease);
+        } else {
+            keyEvents.accept(new KeyEvent.LeaseRenewed(validUntil(sentNanos, CONTROL_TIME_TO_LIVE_MILLIS)));
+        }
+    }
+
     private void loseControl() {
         controlLease = 0;
         keyEvents.accept(new KeyEvent.LeaseLost());
@@ -220,6 +230,7 @@
             return;
         }
         long sentNanos = System.nanoTime();
+        suspensions.wasSuspended();
         long lease = store.grantLease(Duration.ofMillis(CONTROL_TIME_TO_LIVE_MILLIS));
         WriteOutcome outcome = store.write(new Change(StoreKeys.CONTROLLER, 0, entry(lease), lease))
                 .outcome();
@@ -227,13 +238,14 @@
         if (isAcquired && store.renewLease(lease)) {
             controlLease = lease;
             EventLog.info("control-taken", "lease=" + lease);
-            keyEvents.accept(new KeyEvent.LeaseRenewed(validUntil(sentNanos, CONTROL_TIME_TO_LIVE_MILLIS)));
+            reportRenewal(sentNanos);
         }
         isControlled = true;
     }
 
     private boolean isDeferring() {
-        return cores < mostCores && System.nanoTime() - uncontrolledSinceNanos < DEFERENCE_MILLIS * 1_000_000L;
+        return self.cores() < mostCores
+                && clockNanos.getAsLong() - uncontrolledSinceNanos < DEFERENCE_MILLIS * 1_000_000L;
     }
 
     private boolean isHeldBy(long lease) {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/RouterEntry.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/RouterEntry.java
@@ -9,4 +9,9 @@
  * @param leaseId the lease of the registration, which tells incarnations of the router apart
  * @param cores the processor share of the router's VM, in cores
  */
-record RouterEntry(String routerId, String host, int port, long leaseId, double cores) {}
+record RouterEntry(String routerId, String host, int port, long leaseId, double cores) {
+
+    RouterEntry withLease(long newLeaseId) {
+        return new RouterEntry(routerId, host, port, newLeaseId, cores);
+    }
+}
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -126,13 +126,16 @@
     }
 
     private LeaseDuty createLeaseDuty(StoreClient store) {
+        Address peers = settings.peers();
+        RouterEntry self =
+                new RouterEntry(settings.serving().routerId(), peers.host(), peers.port(), 0, settings.cores());
         return new LeaseDuty(
                 store,
-                settings.serving().routerId(),
-                settings.peers(),
-                settings.cores(),
+                self,
                 blockingPut(servingEvents),
-                blockingPut(keyEvents));
+                blockingPut(keyEvents),
+                new SuspensionDetector(),
+                System::nanoTime);
     }
 
     private ServingHandler createCallerHandler() {
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/HttpLoopTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/HttpLoopTest.java
@@ -313,6 +313,8 @@
                 "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 999999999999\r\n\r\n",
                 "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n",
                 "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5;name=",
+                "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nTrailer: ",
                 "",
             })
     void shouldEndACallAtOnceWhenItsResponseIsEndless(String begin) throws Exception {
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/LeasedStore.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/LeasedStore.java
@@ -16,9 +16,15 @@
     private final Map<String, Item> items = new HashMap<>();
     private final Map<String, Long> leaseByKey = new HashMap<>();
     private final Set<Long> leases = new HashSet<>();
+    private Runnable onRenewal = () -> {};
     private long revision;
     private long lastLease;
 
+    /** Makes each renewal run {@code action} first. */
+    void onRenewal(Runnable action) {
+        onRenewal = action;
+    }
+
     @Override
     public Optional<Item> get(String key) {
         return Optional.ofNullable(items.get(key));
@@ -53,6 +59,7 @@
 
     @Override
     public boolean renewLease(long leaseId) {
+        onRenewal.run();
         return leases.contains(leaseId);
     }
 
