--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
@@ -32,8 +32,9 @@
 
 /**
  * Connects each router with the controller of the keys: routers send their key loads to the controller, and the
- * controller sends them key maps. Messages without a connection are dropped: the next load report repeats the content,
- * and the key maps are in the store. Thread-safe.
+ * controller sends them the key maps and what it reads in the store. Messages without a connection are dropped: the
+ * next load report repeats the content, the key maps are sent when a connection opens, and a router that misses a
+ * change of the store reads it itself. Thread-safe.
  */
 final class ControllerLink implements AutoCloseable {
     private static final int RING_CAPACITY = 256;
@@ -53,13 +54,13 @@
     /** The newest key maps that {@link #mapPublisher} published; changes of another router don't apply to them. */
     private final Map<String, KeyMap> mapByService = new HashMap<>();
 
-    private String mapPublisher = "";
     private final Map<String, Ring<PrefixChange>> changesByPrefix = new HashMap<>();
     private final Set<String> connectedPeers = new HashSet<>();
     private volatile PeerNetwork network;
     private DutyThread reader;
     private volatile RouterEntry controller;
     private OperatorUpdate lastUpdate;
+    private String mapPublisher = "";
 
     ControllerLink(
             String routerId,
