--- a/review/standins/Backend.java
+++ b/review/standins/Backend.java
@@ -27,6 +27,7 @@
         final long fence;
         final long sinceNanos;
         long untilNanos;
+        long renewedNanos;
 
         Hold(int from, int to, long fence, long sinceNanos, long untilNanos) {
             this.from = from;
@@ -34,6 +35,7 @@
             this.fence = fence;
             this.sinceNanos = sinceNanos;
             this.untilNanos = untilNanos;
+            this.renewedNanos = sinceNanos;
         }
     }
 
@@ -65,12 +67,17 @@
     }
 
     Backend(Record record, String id, String service, String zone, boolean isSharded) throws IOException {
+        this(record, id, service, zone, isSharded, 0);
+    }
+
+    /** Starts a backend at {@code port}, or at a free one if that is 0. */
+    Backend(Record record, String id, String service, String zone, boolean isSharded, int port) throws IOException {
         this.record = record;
         this.id = id;
         this.service = service;
         this.zone = zone;
         this.isSharded = isSharded;
-        this.server = new Http.Server("127.0.0.1", this::handle);
+        this.server = new Http.Server("127.0.0.1", port, this::handle);
     }
 
     static String newId() {
@@ -95,6 +102,26 @@
         return isCold ? (coldUntilNanos - System.nanoTime()) / 1_000_000 : 0;
     }
 
+    /** Returns whether the backend holds keys and all its grants were renewed within the last {@code millis}. */
+    synchronized boolean wasJustRenewed(long millis) {
+        long now = System.nanoTime();
+        List<Hold> held = holds.stream().filter(hold -> hold.untilNanos - now > 0).toList();
+        return !held.isEmpty() && held.stream().allMatch(hold -> now - hold.renewedNanos < millis * 1_000_000L);
+    }
+
+    int port() {
+        return server.port();
+    }
+
+    /** Ends the process: its port is closed, its connections are reset and it holds nothing any more. */
+    synchronized void crash() {
+        record.line(id + ": crashes");
+        isDown = true;
+        server.crash();
+        long now = System.nanoTime();
+        holds.forEach(hold -> hold.untilNanos = Math.min(hold.untilNanos, now));
+    }
+
     synchronized boolean isDown() {
         return isDown;
     }
@@ -170,6 +197,7 @@
             if (hold.from <= to && from <= hold.to && hold.untilNanos - now > 0) {
                 if (hold.fence == fence && hold.from == from && hold.to == to) {
                     hold.untilNanos = untilNanos;
+                    hold.renewedNanos = now;
                     return 200;
                 }
             }
