Core: a request without a route is rejected with the configuration behind it

A 404 of ours could not be told from a caller's mistake: its line named host and path, not the version of the configuration, its age or where it came from.

TableChanged carries a ConfigurationSource, the new event ConfigurationConfirmed says as of when the view was complete, and ConfigurationStatus keeps both.

--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/DirectRequestRouter.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/DirectRequestRouter.java
@@ -43,6 +43,8 @@
     private void applyUpdate(ServingEvent event, long nowNanos) {
         if (event instanceof ServingEvent.TableChanged changed) {
             applyTable(changed);
+        } else if (event instanceof ServingEvent.ConfigurationConfirmed confirmed) {
+            fleet.configuration().confirm(confirmed.confirmedNanos());
         } else if (event instanceof ServingEvent.ServersListed listed) {
             fleet.servers().replaceAll(listed.servers(), nowNanos);
         } else if (event instanceof ServingEvent.ServerChanged changed) {
@@ -53,7 +55,13 @@
             fleet.servers().replaceEvacuations(changed.dataCentres(), this::coldStartNanos, nowNanos);
         } else if (event instanceof ServingEvent.KeyMapChanged changed) {
             applyKeyMap(changed, nowNanos);
-        } else if (event instanceof ServingEvent.RoutersChanged changed) {
+        } else {
+            applyRouters(event, nowNanos);
+        }
+    }
+
+    private void applyRouters(ServingEvent event, long nowNanos) {
+        if (event instanceof ServingEvent.RoutersChanged changed) {
             fleet.routers().replace(changed.routerIds(), nowNanos);
         } else if (event instanceof ServingEvent.RoutersConfirmed) {
             fleet.routers().confirm(nowNanos);
@@ -63,7 +71,7 @@
     }
 
     private void applyTable(ServingEvent.TableChanged changed) {
-        if (fleet.replaceTable(changed.table())) {
+        if (fleet.replaceTable(changed.table(), changed.source())) {
             coordinator.handleTableChanged(changed.table());
         }
     }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/FleetView.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/FleetView.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.daisyscale.core.serving.ConfigurationSource;
 import org.daisyscale.core.serving.KeyMap;
 import org.daisyscale.core.serving.RoutingTable;
 import org.daisyscale.core.serving.ServiceRules;
@@ -19,6 +20,7 @@
     private final ServerNotices notices = new ServerNotices(servers);
     private final Map<String, KeyMap> keyMapByService = new HashMap<>();
     private final RouterMembership routers;
+    private final ConfigurationStatus configuration = new ConfigurationStatus();
     private RoutingTable table;
     private RouteIndex routes;
 
@@ -51,15 +53,21 @@
     }
 
     /** Replaces the routing table unless {@code newer} is stale; returns whether it did. */
-    boolean replaceTable(RoutingTable newer) {
+    boolean replaceTable(RoutingTable newer, ConfigurationSource source) {
         if (table != null && newer.version() <= table.version()) {
             return false;
         }
         table = newer;
+        configuration.replace(newer, source);
         routes = new RouteIndex(newer);
         return true;
     }
 
+    /** Returns which version of the configuration is in force, and how current it is. */
+    ConfigurationStatus configuration() {
+        return configuration;
+    }
+
     boolean hasTable() {
         return table != null;
     }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
@@ -113,7 +113,7 @@
         }
         Optional<Route> route = fleet.routes().find(head.host(), head.path());
         if (route.isEmpty()) {
-            reject(requestId, CoreErrorCode.NO_ROUTE, "host=" + head.host() + " path=" + head.path(), 0);
+            rejectWithoutRoute(requestId, head, nowNanos);
             return;
         }
         long waitedMillis = Math.max(0, (nowNanos - arrived.arrivedNanos()) / 1_000_000L);
@@ -133,6 +133,15 @@
         open(arrived, route.get(), nowNanos);
     }
 
+    private void rejectWithoutRoute(long requestId, RequestHead head, long nowNanos) {
+        actions.add(new ServingAction.Reject(
+                requestId,
+                CoreErrorCode.NO_ROUTE,
+                "host=" + head.host() + " path=" + head.path(),
+                0,
+                fleet.configuration().describe(nowNanos)));
+    }
+
     private static long callerTimeoutMillis(RequestHead head) {
         return head.timeLeftMillis() > 0 ? head.timeLeftMillis() : DEFAULT_CALLER_TIMEOUT_MILLIS;
     }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingAction.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingAction.java
@@ -28,11 +28,18 @@
      *
      * @param requestId the id of the request
      * @param reason the error code, which also says whether the request may have run
-     * @param detail the circumstances, for the log
+     * @param detail the circumstances, for the caller and the log
      * @param retryAfterMillis the retry-after advice, in milliseconds; 0 for none
+     * @param logDetail the state of this router that the decision was based on, for the log only; may be empty
      */
-    record Reject(long requestId, CoreErrorCode reason, String detail, long retryAfterMillis)
-            implements ServingAction {}
+    record Reject(long requestId, CoreErrorCode reason, String detail, long retryAfterMillis, String logDetail)
+            implements ServingAction {
+
+        /** Creates the action for a rejection that {@code detail} explains. */
+        public Reject(long requestId, CoreErrorCode reason, String detail, long retryAfterMillis) {
+            this(requestId, reason, detail, retryAfterMillis, "");
+        }
+    }
 
     /** Reports the key load at this router to the router that controls the keys. */
     record ReportKeyLoad(KeyLoad load) implements ServingAction {}
--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingEvent.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingEvent.java
@@ -49,8 +49,26 @@
         }
     }
 
-    /** A configuration arrived; one older than that in force is ignored. */
-    record TableChanged(RoutingTable table) implements ServingEvent {}
+    /**
+     * A configuration arrived; one older than that in force is ignored.
+     *
+     * @param table the configuration
+     * @param source where this router has it from
+     */
+    record TableChanged(RoutingTable table, ConfigurationSource source) implements ServingEvent {
+
+        /** Creates the event of a configuration that was read from the store at an unknown revision. */
+        public TableChanged(RoutingTable table) {
+            this(table, ConfigurationSource.fromStore(0));
+        }
+    }
+
+    /**
+     * This router's view of what operators wrote, with every {@link TableChanged} before, was known to be complete.
+     *
+     * @param confirmedNanos when it was known, by the monotonic clock
+     */
+    record ConfigurationConfirmed(long confirmedNanos) implements ServingEvent {}
 
     /** The complete list of registered servers was read. */
     record ServersListed(List<BackendServer> servers) implements ServingEvent {
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/RequestRouterTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/RequestRouterTest.java
@@ -148,6 +148,63 @@
         assertThat(rejection(arrive(1, "/nothing/1"))).isEqualTo(CoreErrorCode.NO_ROUTE);
     }
 
+    private static String logDetail(List<ServingAction> actions) {
+        return actions.stream()
+                .filter(ServingAction.Reject.class::isInstance)
+                .map(action -> ((ServingAction.Reject) action).logDetail())
+                .findFirst()
+                .orElseThrow(() -> new AssertionError("no request was rejected: " + actions));
+    }
+
+    @Test
+    void shouldLogTheConfigurationThatHasNoRouteForARequestWithItsAgeAndItsSource() {
+        handle(new ServingEvent.TableChanged(
+                table(5, route("pay", false, to("pooled", 1))), ConfigurationSource.fromController("r7", 41)));
+        handle(new ServingEvent.ConfigurationConfirmed(nowNanos));
+        passTime(2_300);
+
+        String logDetail = logDetail(arrive(1, "/nothing/1"));
+
+        assertThat(logDetail)
+                .isEqualTo("configurationVersion=5 viewAgeMillis=2300 source=controller:r7 sourceRevision=41");
+    }
+
+    @Test
+    void shouldLogThatTheConfigurationWithoutARouteWasReadFromTheStoreAndNeverKnownToBeComplete() {
+        handle(new ServingEvent.TableChanged(
+                table(5, route("pay", false, to("pooled", 1))), ConfigurationSource.fromStore(38)));
+
+        String logDetail = logDetail(arrive(1, "/nothing/1"));
+
+        assertThat(logDetail).isEqualTo("configurationVersion=5 viewAgeMillis=unknown source=store sourceRevision=38");
+    }
+
+    @Test
+    void shouldCountTheAgeOfTheConfigurationFromTheLatestTimeAtWhichItWasKnownToBeComplete() {
+        useTable();
+        long completeNanos = nowNanos;
+        handle(new ServingEvent.ConfigurationConfirmed(completeNanos));
+        handle(new ServingEvent.ConfigurationConfirmed(completeNanos - 900 * MILLI));
+        passTime(400);
+
+        assertThat(logDetail(arrive(1, "/nothing/1"))).contains("viewAgeMillis=400 ");
+    }
+
+    @Test
+    void shouldNotLogTheSourceOfAnOlderConfigurationThatIsIgnored() {
+        useTable();
+        handle(new ServingEvent.TableChanged(table(4), ConfigurationSource.fromController("r7", 41)));
+
+        assertThat(logDetail(arrive(1, "/nothing/1"))).contains("configurationVersion=5 ", "source=store ");
+    }
+
+    @Test
+    void shouldLogTheConfigurationOnlyForARequestWithoutARoute() {
+        useTable();
+
+        assertThat(logDetail(arrive(1, "/pay/1"))).isEmpty();
+    }
+
     @Test
     void shouldIgnoreAnOlderConfiguration() {
         useTable();
