Router: the log line of a 404 names the configuration, its age and its source

The decisions could not know how current the configuration was. Each version now carries where it was read or who sent it (ControllerUpdate keeps the sender), and the guard of the operators' prefix tells the decisions whenever the view is known to be complete: a few times a second, dropped when the ring is full. ServingDuty writes its lines through an EventReporter, so that tests can read them.

--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ConfirmedWatchGuard.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ConfirmedWatchGuard.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import org.daisyscale.core.peer.PeerMessage.StoreProgress;
 import org.daisyscale.router.internal.log.EventLog;
@@ -39,7 +40,7 @@
     private final String prefix;
     private final Consumer<StoreProgress> publisher;
     private final BooleanSupplier isController;
-    private final Runnable onCurrent;
+    private final LongConsumer onCurrent;
     private final LongSupplier clockNanos;
     private long reachedRevision = -1;
     private long expectedRevision;
@@ -51,13 +52,13 @@
 
     /**
      * Creates the guard for the watch of {@code prefix}. {@code publisher} receives the progress of this router's own
-     * watch; {@code onCurrent} runs whenever the view is known to be complete.
+     * watch; {@code onCurrent} receives the time by the monotonic clock whenever the view is known to be complete.
      */
     ConfirmedWatchGuard(
             String prefix,
             Consumer<StoreProgress> publisher,
             BooleanSupplier isController,
-            Runnable onCurrent,
+            LongConsumer onCurrent,
             LongSupplier clockNanos) {
         this.prefix = prefix;
         this.publisher = publisher;
@@ -90,7 +91,7 @@
                     "prefix=%s revision=%d afterMillis=%d".formatted(prefix, reachedRevision, ageMillis()));
         }
         lastCurrentNanos = clockNanos.getAsLong();
-        onCurrent.run();
+        onCurrent.accept(lastCurrentNanos);
     }
 
     /** Records that the controller has just read the store up to {@code progress}. */
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
@@ -48,7 +48,7 @@
     private final Address address;
     private final Consumer<ServingEvent> servingEvents;
     private final Consumer<KeyEvent> keyEvents;
-    private final Ring<OperatorUpdate> operatorUpdates;
+    private final Ring<ControllerUpdate> operatorUpdates;
     private final Ring<Event> peerEvents = new ArrayRing<>("peer-events", RING_CAPACITY);
     private final List<ConfirmedWatchGuard> watchGuards = new ArrayList<>();
     private final Map<String, RouterEntry> routerById = new HashMap<>();
@@ -68,7 +68,7 @@
             Address address,
             Consumer<ServingEvent> servingEvents,
             Consumer<KeyEvent> keyEvents,
-            Ring<OperatorUpdate> operatorUpdates) {
+            Ring<ControllerUpdate> operatorUpdates) {
         this.routerId = routerId;
         this.address = address;
         this.servingEvents = servingEvents;
@@ -272,15 +272,15 @@
             Optional.ofNullable(mapByService.get(request.service()))
                     .ifPresent(map -> send(from, new PeerMessage.KeyMapUpdate(map)));
         } else if (isControlledBy(from)) {
-            handleProgress(message);
+            handleProgress(from, message);
         }
     }
 
-    private void handleProgress(PeerMessage message) {
+    private void handleProgress(String from, PeerMessage message) {
         if (message instanceof PeerMessage.StoreProgress progress) {
             watchGuards.forEach(guard -> guard.confirm(progress));
         } else if (message instanceof OperatorUpdate update) {
-            offer(operatorUpdates, update);
+            offer(operatorUpdates, new ControllerUpdate(from, update));
         } else if (message instanceof PeerMessage.PrefixChanged changed) {
             Optional.ofNullable(changesByPrefix.get(changed.change().prefix()))
                     .ifPresent(ring -> offer(ring, changed.change()));
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorState.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorState.java
@@ -8,6 +8,7 @@
 import org.daisyscale.core.peer.PeerMessage.OperatorUpdate;
 import org.daisyscale.core.platform.CoordinationStore.Item;
 import org.daisyscale.core.platform.CoordinationStore.ItemChange;
+import org.daisyscale.core.serving.ConfigurationSource;
 import org.daisyscale.core.serving.RoutingTable;
 import org.daisyscale.core.serving.RoutingTableHistory;
 import org.daisyscale.core.serving.ServingEvent;
@@ -74,7 +75,8 @@
     }
 
     /** Applies an update of the controller; returns false when it cannot be applied to the table that is known here. */
-    boolean applyUpdate(OperatorUpdate update) {
+    boolean applyUpdate(ControllerUpdate received) {
+        OperatorUpdate update = received.update();
         if (table == null) {
             return false;
         }
@@ -86,7 +88,7 @@
                     "configuration-told",
                     "version=%d from=%d revision=%d"
                             .formatted(update.table().version(), table.version(), update.revision()));
-            applyTable(update.table().applyTo(table));
+            applyTable(update.table().applyTo(table), received.source());
         }
         setEvacuated(update.evacuatedDataCentres());
         return true;
@@ -113,14 +115,14 @@
             EventLog.info(
                     "configuration-seen",
                     "version=%d revision=%d bytes=%d".formatted(read.version(), item.revision(), item.value().length));
-            applyTable(read);
+            applyTable(read, ConfigurationSource.fromStore(item.revision()));
         });
     }
 
-    private void applyTable(RoutingTable newer) {
+    private void applyTable(RoutingTable newer, ConfigurationSource source) {
         if (table == null || newer.version() > table.version()) {
             table = newer;
-            events.accept(new ServingEvent.TableChanged(newer));
+            events.accept(new ServingEvent.TableChanged(newer, source));
             readiness.markTableKnown();
         }
     }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorWatchDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorWatchDuty.java
@@ -29,7 +29,7 @@
     private final String prefix;
     private final ConfirmedWatchGuard guard;
     private final long batchMillis;
-    private final Ring<OperatorUpdate> updates;
+    private final Ring<ControllerUpdate> updates;
     private final OperatorState state;
     private final Consumer<OperatorUpdate> publisher;
     private final Backoff backoff = new Backoff(MIN_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS);
@@ -51,7 +51,7 @@
             String prefix,
             ConfirmedWatchGuard guard,
             long batchMillis,
-            Ring<OperatorUpdate> updates,
+            Ring<ControllerUpdate> updates,
             OperatorState state,
             Consumer<OperatorUpdate> publisher) {
         this.store = store;
@@ -85,10 +85,11 @@
         updates.poll(Duration.ofMillis(millis)).ifPresent(this::apply);
     }
 
-    private void apply(OperatorUpdate update) {
-        if (update.revision() > revision && state.applyUpdate(update)) {
+    private void apply(ControllerUpdate received) {
+        long updateRevision = received.update().revision();
+        if (updateRevision > revision && state.applyUpdate(received)) {
             isListed = true;
-            recordRevision(update.revision(), update.revision());
+            recordRevision(updateRevision, updateRevision);
         }
     }
 
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -2,10 +2,10 @@
 
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.daisyscale.core.keys.KeyAction;
 import org.daisyscale.core.keys.KeyController;
 import org.daisyscale.core.keys.KeyEvent;
-import org.daisyscale.core.peer.PeerMessage.OperatorUpdate;
 import org.daisyscale.core.serving.RequestRouter;
 import org.daisyscale.core.serving.ServingEvent;
 import org.daisyscale.router.internal.assembly.StopSignal;
@@ -55,7 +55,7 @@
     private final CallerConnections connections = new CallerConnections();
     private final Ring<ServingEvent> servingEvents = new ArrayRing<>("decisions", RING_CAPACITY);
     private final Ring<KeyEvent> keyEvents = new ArrayRing<>("keys", RING_CAPACITY);
-    private final Ring<OperatorUpdate> operatorUpdates = new ArrayRing<>("operator-updates", UPDATE_RING_CAPACITY);
+    private final Ring<ControllerUpdate> operatorUpdates = new ArrayRing<>("operator-updates", UPDATE_RING_CAPACITY);
     private final Ring<KeyAction> mapActions = new ArrayRing<>("key-maps", RING_CAPACITY);
 
     /** Creates the assembly without starting it. */
@@ -91,13 +91,13 @@
                             dialect.fleet().serverPrefix(),
                             controller,
                             listeners.createServerListener(),
-                            () -> {});
+                            nanos -> {});
                     DutyThread routers = startFleetWatch(
                             store,
                             StoreKeys.PREFIX,
                             controller,
                             listeners.createRouterListener(settings.serving().routerId(), lease, controller),
-                            listeners::confirmRouters);
+                            nanos -> listeners.confirmRouters());
                     DutyThread leases = DutyThread.start("lease", lease::runStep);
                     DutyThread polls = DutyThread.start(
                             "key-map-polls",
@@ -155,6 +155,7 @@
                 healthChecks,
                 controller::report,
                 controller::share,
+                EventLog::info,
                 metrics);
     }
 
@@ -168,7 +169,7 @@
             String prefix,
             ControllerLink controller,
             FleetWatchDuty.Listener listener,
-            Runnable onCurrent) {
+            LongConsumer onCurrent) {
         ConfirmedWatchGuard guard = createGuard(prefix, controller, onCurrent);
         FleetWatchDuty duty = new FleetWatchDuty(
                 store, prefix, guard, CHANGE_BATCH_MILLIS, controller.changesOf(prefix), controller::publish, listener);
@@ -177,13 +178,13 @@
 
     private DutyThread startOperatorWatch(StoreClient store, ControllerLink controller, OperatorState state) {
         String prefix = dialect.fleet().operatorPrefix();
-        ConfirmedWatchGuard guard = createGuard(prefix, controller, () -> {});
+        ConfirmedWatchGuard guard = createGuard(prefix, controller, this::offerConfirmation);
         OperatorWatchDuty duty = new OperatorWatchDuty(
                 store, prefix, guard, CHANGE_BATCH_MILLIS, operatorUpdates, state, controller::publish);
         return DutyThread.start("watch-" + prefix, duty::runStep);
     }
 
-    private ConfirmedWatchGuard createGuard(String prefix, ControllerLink controller, Runnable onCurrent) {
+    private ConfirmedWatchGuard createGuard(String prefix, ControllerLink controller, LongConsumer onCurrent) {
         ConfirmedWatchGuard guard = new ConfirmedWatchGuard(
                 prefix, controller::publish, controller::isController, onCurrent, System::nanoTime);
         controller.add(guard);
@@ -224,6 +225,13 @@
         EventLog.info("stopped", "openRequests=" + exchanges.size() + " connections=" + connections.size());
     }
 
+    /** Tells the decisions that the configuration was complete at {@code nanos}, unless their ring is full. */
+    private void offerConfirmation(long nanos) {
+        if (!servingEvents.offer(new ServingEvent.ConfigurationConfirmed(nanos))) {
+            metrics.ringFull(servingEvents.name());
+        }
+    }
+
     /**
      * Adds {@code event} unless the ring is full. The reader of the ring waits for the lock of the controller link, so
      * the link must not wait for the reader; what it reports is repeated, or only lets the controller act sooner.
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingDuty.java
@@ -8,7 +8,7 @@
 import org.daisyscale.core.serving.RequestRouter;
 import org.daisyscale.core.serving.ServingAction;
 import org.daisyscale.core.serving.ServingEvent;
-import org.daisyscale.router.internal.log.EventLog;
+import org.daisyscale.router.internal.log.EventReporter;
 import org.daisyscale.router.internal.ring.Ring;
 
 /** Owns the decisions of the request path and runs the resulting actions. Not thread-safe; confined to one thread. */
@@ -22,6 +22,7 @@
     private final HealthCheckSender healthChecks;
     private final Consumer<KeyLoad> keyLoads;
     private final Consumer<FleetNews> news;
+    private final EventReporter log;
     private final ServingMetrics metrics;
 
     ServingDuty(
@@ -32,6 +33,7 @@
             HealthCheckSender healthChecks,
             Consumer<KeyLoad> keyLoads,
             Consumer<FleetNews> news,
+            EventReporter log,
             ServingMetrics metrics) {
         this.router = router;
         this.events = events;
@@ -40,6 +42,7 @@
         this.healthChecks = healthChecks;
         this.keyLoads = keyLoads;
         this.news = news;
+        this.log = log;
         this.metrics = metrics;
     }
 
@@ -64,7 +67,7 @@
         metrics.attemptEnded(ended.outcome().name());
         Exchange exchange = exchanges.find(ended.requestId());
         if (exchange != null && ended.outcome() != AttemptOutcome.ANSWERED) {
-            EventLog.info(
+            log.report(
                     "attempt-failed",
                     "requestId=%s attempt=%d server=%s outcome=%s ageMillis=%d"
                             .formatted(
@@ -95,7 +98,7 @@
         } else if (action instanceof ServingAction.ShareNews share) {
             news.accept(share.news());
         } else if (action instanceof ServingAction.Report report) {
-            EventLog.info(report.event(), report.detail());
+            log.report(report.event(), report.detail());
         }
     }
 
@@ -121,15 +124,18 @@
         Exchange exchange = exchanges.remove(rejection.requestId());
         if (exchange != null && exchange.end(new Exchange.Outcome.Rejected(rejection))) {
             metrics.requestEnded(rejection.reason().code(), exchange.ageMillis());
-            logEnd(
-                    exchange,
-                    "code=%s retryAfterMillis=%d %s"
-                            .formatted(rejection.reason().code(), rejection.retryAfterMillis(), rejection.detail()));
+            String result = "code=%s retryAfterMillis=%d %s %s"
+                    .formatted(
+                            rejection.reason().code(),
+                            rejection.retryAfterMillis(),
+                            rejection.detail(),
+                            rejection.logDetail());
+            logEnd(exchange, result.stripTrailing());
         }
     }
 
-    private static void logEnd(Exchange exchange, String result) {
-        EventLog.info(
+    private void logEnd(Exchange exchange, String result) {
+        log.report(
                 "request-failed",
                 "requestId=%s path=%s key=%d server=%s ageMillis=%d %s"
                         .formatted(
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ConfirmedWatchGuardTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ConfirmedWatchGuardTest.java
@@ -11,11 +11,11 @@
     private static final long MILLIS = 1_000_000L;
 
     private final List<StoreProgress> published = new ArrayList<>();
+    private final List<Long> currentTimes = new ArrayList<>();
     private long nowNanos = 50 * MILLIS;
-    private int currentCount;
     private boolean isController;
     private final ConfirmedWatchGuard guard = new ConfirmedWatchGuard(
-            "servers/", published::add, () -> isController, () -> currentCount++, () -> nowNanos);
+            "servers/", published::add, () -> isController, nanos -> currentTimes.add(nanos), () -> nowNanos);
 
     private void advance(long millis) {
         nowNanos += millis * MILLIS;
@@ -100,7 +100,7 @@
 
         guard.confirm(new StoreProgress("servers/", 7));
 
-        assertThat(currentCount).isEqualTo(2);
+        assertThat(currentTimes).hasSize(2);
     }
 
     @Test
@@ -109,6 +109,16 @@
 
         guard.confirm(new StoreProgress("servers/", 8));
 
-        assertThat(currentCount).isEqualTo(1);
+        assertThat(currentTimes).hasSize(1);
+    }
+
+    @Test
+    void shouldSayWhenTheViewWasKnownToBeComplete() {
+        guard.recordRevision(7);
+        advance(300);
+
+        guard.confirm(new StoreProgress("servers/", 7));
+
+        assertThat(currentTimes).containsExactly(50 * MILLIS, 350 * MILLIS);
     }
 }
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FleetWatchDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FleetWatchDutyTest.java
@@ -20,7 +20,7 @@
     private final Ring<PrefixChange> updates = new ArrayRing<>("updates", 4);
     private final List<PrefixChange> published = new ArrayList<>();
     private final ConfirmedWatchGuard guard =
-            new ConfirmedWatchGuard("servers/", progress -> {}, () -> false, () -> {}, System::nanoTime);
+            new ConfirmedWatchGuard("servers/", progress -> {}, () -> false, nanos -> {}, System::nanoTime);
     private final FleetWatchDuty duty =
             new FleetWatchDuty(store, "servers/", guard, 0, updates, published::add, new FleetWatchDuty.Listener() {
                 @Override
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/OperatorWatchDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/OperatorWatchDutyTest.java
@@ -15,6 +15,7 @@
 import org.daisyscale.core.platform.CoordinationStore.ItemChange;
 import org.daisyscale.core.platform.CoordinationStore.Listing;
 import org.daisyscale.core.serving.BackendServer;
+import org.daisyscale.core.serving.ConfigurationSource;
 import org.daisyscale.core.serving.RequestLimits;
 import org.daisyscale.core.serving.Route;
 import org.daisyscale.core.serving.Route.WeightedService;
@@ -32,9 +33,9 @@
     private final ScriptedStore store = new ScriptedStore();
     private final List<ServingEvent> events = new ArrayList<>();
     private final List<OperatorUpdate> published = new ArrayList<>();
-    private final Ring<OperatorUpdate> updates = new ArrayRing<>("updates", 4);
+    private final Ring<ControllerUpdate> updates = new ArrayRing<>("updates", 4);
     private final ConfirmedWatchGuard guard =
-            new ConfirmedWatchGuard("op/", progress -> {}, () -> false, () -> {}, System::nanoTime);
+            new ConfirmedWatchGuard("op/", progress -> {}, () -> false, nanos -> {}, System::nanoTime);
     private final OperatorWatchDuty duty = new OperatorWatchDuty(
             store,
             "op/",
@@ -58,7 +59,7 @@
         return new ItemChange(item.key(), item.revision(), Optional.of(item));
     }
 
-    private static OperatorUpdate update(long revision, long fromVersion, long version, Set<String> evacuated) {
+    private static ControllerUpdate update(long revision, long fromVersion, long version, Set<String> evacuated) {
         RoutingTableChange change = new RoutingTableChange(
                 Set.copyOf(List.of(fromVersion, version)),
                 version,
@@ -66,7 +67,7 @@
                 Set.of(),
                 Map.of(),
                 LIMITS);
-        return new OperatorUpdate(revision, change, evacuated);
+        return new ControllerUpdate("r7", new OperatorUpdate(revision, change, evacuated));
     }
 
     private List<Long> publishedVersions() {
@@ -94,6 +95,20 @@
         assertThat(store.callCount()).isEqualTo(1);
     }
 
+    @Test
+    void shouldSayWhereEachVersionOfTheConfigurationComesFrom() throws InterruptedException {
+        readVersionOne();
+        guard.confirm(new StoreProgress("op/", 9));
+        updates.put(update(9, 1, 2, Set.of()));
+
+        duty.runStep();
+
+        assertThat(events)
+                .containsExactly(
+                        new ServingEvent.TableChanged(table(1), ConfigurationSource.fromStore(5)),
+                        new ServingEvent.TableChanged(table(2), ConfigurationSource.fromController("r7", 9)));
+    }
+
     @Test
     void shouldApplyAnUpdateOfTheControllerWhileTheStoreIsUnreachable() throws InterruptedException {
         readVersionOne();
