Router: updates of the controller that do not apply leave a line

A router that holds version 399 drops an update that starts from 396 and 403, and nothing in its log said so; the same for changes of servers and routers. The lines configuration-update-skipped and store-change-skipped name what is held, where the update starts and leads to, and why it was skipped: the first one for each held state and reason, the others as a count in the next line or in configuration-caught-up and store-changes-caught-up. What is applied stays the same.

--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetWatchDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetWatchDuty.java
@@ -16,6 +16,7 @@
 import org.daisyscale.core.platform.PrefixChange;
 import org.daisyscale.router.internal.duty.Backoff;
 import org.daisyscale.router.internal.log.EventLog;
+import org.daisyscale.router.internal.log.EventReporter;
 import org.daisyscale.router.internal.ring.Ring;
 import org.daisyscale.router.serving.StoreException;
 
@@ -57,6 +58,7 @@
     private final Map<String, Item> unpublishedItems = new LinkedHashMap<>();
     private final Set<String> unpublishedRemovals = new HashSet<>();
     private final StoreReachability reachability;
+    private final SkippedUpdateLog skippedChanges;
     private long publishedRevision;
     private long revision;
     private long lastChangeRevision;
@@ -68,6 +70,7 @@
      * @param updates the ring with changes that the controller read
      * @param publisher receives what this router read, for the other routers
      * @param batchMillis changes that follow each other within this time are read with one call, in milliseconds
+     * @param log receives what the duty skips
      */
     FleetWatchDuty(
             CoordinationStore store,
@@ -76,7 +79,8 @@
             long batchMillis,
             Ring<PrefixChange> updates,
             Consumer<PrefixChange> publisher,
-            Listener listener) {
+            Listener listener,
+            EventReporter log) {
         this.store = store;
         this.prefix = prefix;
         this.guard = guard;
@@ -85,6 +89,7 @@
         this.publisher = publisher;
         this.listener = listener;
         this.reachability = new StoreReachability(prefix);
+        this.skippedChanges = new SkippedUpdateLog(log, "store-change-skipped", "store-changes-caught-up");
     }
 
     /** Reads the store or waits for a change that the controller read, once. */
@@ -116,7 +121,8 @@
 
     /** Applies a change unless something before it is missing here, or this router has read further. */
     private void apply(PrefixChange update) {
-        if (isListed && update.fromRevision() <= revision && revision <= update.revision()) {
+        UpdateResult result = result(update);
+        if (result == UpdateResult.APPLIED) {
             update.written().forEach(this::recordWritten);
             update.removedKeys().stream()
                     .filter(key ->
@@ -124,8 +130,28 @@
                     .forEach(this::remove);
             revision = update.revision();
             lastChangeRevision = Math.max(lastChangeRevision, update.revision());
-            guard.recordRevision(lastChangeRevision);
+            recordCurrent();
+        } else {
+            String detail = "prefix=%s heldRevision=%d fromRevision=%d toRevision=%d"
+                    .formatted(prefix, revision, update.fromRevision(), update.revision());
+            skippedChanges.recordSkipped(result, revision, detail);
+        }
+    }
+
+    /** Returns whether a change applies to what is known here, and why not. */
+    private UpdateResult result(PrefixChange update) {
+        if (!isListed) {
+            return UpdateResult.NOT_LISTED;
+        }
+        if (revision > update.revision()) {
+            return UpdateResult.OLDER;
         }
+        return update.fromRevision() <= revision ? UpdateResult.APPLIED : UpdateResult.DOES_NOT_APPLY;
+    }
+
+    private void recordCurrent() {
+        guard.recordRevision(lastChangeRevision);
+        skippedChanges.recordCaughtUp("prefix=%s revision=%d".formatted(prefix, revision));
     }
 
     private void readStore() throws InterruptedException {
@@ -179,7 +205,7 @@
     private void handleEmptyWatch(long storeRevision) {
         isListed = storeRevision <= revision;
         if (isListed) {
-            guard.recordRevision(lastChangeRevision);
+            recordCurrent();
         }
     }
 
@@ -199,7 +225,7 @@
         listed.values().forEach(this::recordWritten);
         revision = listing.revision();
         isListed = true;
-        guard.recordRevision(lastChangeRevision);
+        recordCurrent();
         listener.onListed();
     }
 
@@ -218,7 +244,7 @@
             }
         }
         revision = Math.max(revision, changes.revision());
-        guard.recordRevision(lastChangeRevision);
+        recordCurrent();
     }
 
     private boolean isWithinGrace() {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorState.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorState.java
@@ -74,15 +74,20 @@
         }
     }
 
-    /** Applies an update of the controller; returns false when it cannot be applied to the table that is known here. */
-    boolean applyUpdate(ControllerUpdate received) {
+    /** Returns the version of the configuration that is known here; 0 for none. */
+    long version() {
+        return table == null ? 0 : table.version();
+    }
+
+    /** Applies an update of the controller if it can be applied to the table that is known here. */
+    UpdateResult applyUpdate(ControllerUpdate received) {
         OperatorUpdate update = received.update();
         if (table == null) {
-            return false;
+            return UpdateResult.NO_CONFIGURATION;
         }
         if (table.version() < update.table().version()) {
             if (!update.table().appliesTo(table)) {
-                return false;
+                return UpdateResult.DOES_NOT_APPLY;
             }
             EventLog.info(
                     "configuration-told",
@@ -91,7 +96,7 @@
             applyTable(update.table().applyTo(table), received.source());
         }
         setEvacuated(update.evacuatedDataCentres());
-        return true;
+        return UpdateResult.APPLIED;
     }
 
     /**
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorWatchDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorWatchDuty.java
@@ -1,12 +1,16 @@
 package org.daisyscale.router.internal.serving;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.daisyscale.core.peer.PeerMessage.OperatorUpdate;
 import org.daisyscale.core.platform.CoordinationStore;
 import org.daisyscale.core.platform.CoordinationStore.Changes;
+import org.daisyscale.core.serving.RoutingTableChange;
 import org.daisyscale.router.internal.duty.Backoff;
+import org.daisyscale.router.internal.log.EventReporter;
 import org.daisyscale.router.internal.ring.Ring;
 import org.daisyscale.router.serving.StoreException;
 
@@ -24,6 +28,8 @@
     private static final long MAX_BACKOFF_MILLIS = 800;
     /** Interval at which a router checks whether the controller has read further, in milliseconds. */
     private static final long PROGRESS_CHECK_MILLIS = 100;
+    /** Maximum number of versions in one log line; the newest ones are kept. */
+    private static final int MAX_LOGGED_VERSIONS = 32;
 
     private final CoordinationStore store;
     private final String prefix;
@@ -34,6 +40,7 @@
     private final Consumer<OperatorUpdate> publisher;
     private final Backoff backoff = new Backoff(MIN_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS);
     private final StoreReachability reachability;
+    private final SkippedUpdateLog skippedUpdates;
     private long revision;
     private long lastChangeRevision;
     private boolean isListed;
@@ -45,6 +52,7 @@
      * @param updates the ring with updates of the controller
      * @param publisher receives what this router read, for the other routers
      * @param batchMillis changes that follow each other within this time are read with one call, in milliseconds
+     * @param log receives what the duty skips
      */
     OperatorWatchDuty(
             CoordinationStore store,
@@ -53,7 +61,8 @@
             long batchMillis,
             Ring<ControllerUpdate> updates,
             OperatorState state,
-            Consumer<OperatorUpdate> publisher) {
+            Consumer<OperatorUpdate> publisher,
+            EventReporter log) {
         this.store = store;
         this.prefix = prefix;
         this.guard = guard;
@@ -62,6 +71,7 @@
         this.state = state;
         this.publisher = publisher;
         this.reachability = new StoreReachability(prefix);
+        this.skippedUpdates = new SkippedUpdateLog(log, "configuration-update-skipped", "configuration-caught-up");
     }
 
     /** Reads the store or waits for an update of the controller, once. */
@@ -87,12 +97,36 @@
 
     private void apply(ControllerUpdate received) {
         long updateRevision = received.update().revision();
-        if (updateRevision > revision && state.applyUpdate(received)) {
+        UpdateResult result = updateRevision > revision ? state.applyUpdate(received) : UpdateResult.OLDER;
+        if (result == UpdateResult.APPLIED) {
             isListed = true;
             recordRevision(updateRevision, updateRevision);
+        } else {
+            recordSkipped(result, received);
         }
     }
 
+    private void recordSkipped(UpdateResult reason, ControllerUpdate received) {
+        RoutingTableChange change = received.update().table();
+        String detail = "heldVersion=%d heldRevision=%d fromVersions=%s toVersion=%d revision=%d controller=%s"
+                .formatted(
+                        state.version(),
+                        revision,
+                        newestVersions(change),
+                        change.version(),
+                        received.update().revision(),
+                        received.controllerId());
+        skippedUpdates.recordSkipped(reason, state.version(), detail);
+    }
+
+    private static String newestVersions(RoutingTableChange change) {
+        List<Long> versions = change.fromVersions().stream().sorted().toList();
+        int leftOutCount = Math.max(0, versions.size() - MAX_LOGGED_VERSIONS);
+        return versions.subList(leftOutCount, versions.size()).stream()
+                .map(String::valueOf)
+                .collect(Collectors.joining(",", leftOutCount == 0 ? "" : "...", ""));
+    }
+
     private void readStore() throws InterruptedException {
         if (isListed && !isChangingQuickly) {
             watch();
@@ -156,5 +190,6 @@
         lastChangeRevision = Math.max(lastChangeRevision, newestChange);
         state.createUpdate(lastChangeRevision).ifPresent(publisher);
         guard.recordRevision(lastChangeRevision);
+        skippedUpdates.recordCaughtUp("version=%d revision=%d".formatted(state.version(), revision));
     }
 }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -172,7 +172,14 @@
             LongConsumer onCurrent) {
         ConfirmedWatchGuard guard = createGuard(prefix, controller, onCurrent);
         FleetWatchDuty duty = new FleetWatchDuty(
-                store, prefix, guard, CHANGE_BATCH_MILLIS, controller.changesOf(prefix), controller::publish, listener);
+                store,
+                prefix,
+                guard,
+                CHANGE_BATCH_MILLIS,
+                controller.changesOf(prefix),
+                controller::publish,
+                listener,
+                EventLog::info);
         return DutyThread.start("watch-" + prefix, duty::runStep);
     }
 
@@ -180,7 +187,7 @@
         String prefix = dialect.fleet().operatorPrefix();
         ConfirmedWatchGuard guard = createGuard(prefix, controller, this::offerConfirmation);
         OperatorWatchDuty duty = new OperatorWatchDuty(
-                store, prefix, guard, CHANGE_BATCH_MILLIS, operatorUpdates, state, controller::publish);
+                store, prefix, guard, CHANGE_BATCH_MILLIS, operatorUpdates, state, controller::publish, EventLog::info);
         return DutyThread.start("watch-" + prefix, duty::runStep);
     }
 
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FleetWatchDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FleetWatchDutyTest.java
@@ -21,8 +21,15 @@
     private final List<PrefixChange> published = new ArrayList<>();
     private final ConfirmedWatchGuard guard =
             new ConfirmedWatchGuard("servers/", progress -> {}, () -> false, nanos -> {}, System::nanoTime);
-    private final FleetWatchDuty duty =
-            new FleetWatchDuty(store, "servers/", guard, 0, updates, published::add, new FleetWatchDuty.Listener() {
+    private final List<String> lines = new ArrayList<>();
+    private final FleetWatchDuty duty = new FleetWatchDuty(
+            store,
+            "servers/",
+            guard,
+            0,
+            updates,
+            published::add,
+            new FleetWatchDuty.Listener() {
                 @Override
                 public void onWritten(CoordinationStore.Item item, long maxAgeMillis) {
                     maxAgesMillis.add(maxAgeMillis);
@@ -41,7 +48,8 @@
                 public void onListed() {
                     notifications.add("listed");
                 }
-            });
+            },
+            (event, detail) -> lines.add(event + " " + detail));
 
     private static CoordinationStore.Item item(String key, long revision) {
         return new CoordinationStore.Item(key, new byte[0], revision);
@@ -190,6 +198,54 @@
         assertThat(notifications).doesNotContain("written servers/b@9").contains("written servers/c@7");
     }
 
+    private List<String> linesOf(String event) {
+        return lines.stream().filter(line -> line.startsWith(event + " ")).toList();
+    }
+
+    @Test
+    void shouldReportAChangeThatDoesNotApplyOnceForTheRevisionThatIsHeld() throws InterruptedException {
+        listOneServer();
+        guard.confirm(new StoreProgress("servers/", 10));
+        updates.put(new PrefixChange("servers/", 7, 9, List.of(item("servers/b", 9)), Set.of()));
+        updates.put(new PrefixChange("servers/", 9, 10, List.of(item("servers/b", 10)), Set.of()));
+        duty.runStep();
+        Thread.sleep(ConfirmedWatchGuard.MAX_LAG_MILLIS + 10);
+        store.enqueueListing(new CoordinationStore.Listing(List.of(item("servers/b", 10)), 11));
+
+        duty.runStep();
+        duty.runStep();
+
+        assertThat(linesOf("store-change-skipped"))
+                .containsExactly("store-change-skipped prefix=servers/ heldRevision=5 fromRevision=7 toRevision=9"
+                        + " reason=does-not-apply skippedBefore=0");
+        assertThat(linesOf("store-changes-caught-up"))
+                .containsExactly("store-changes-caught-up prefix=servers/ revision=11 skippedBefore=1");
+    }
+
+    @Test
+    void shouldReportAChangeThatArrivesBeforeTheItemsAreListed() throws InterruptedException {
+        updates.put(new PrefixChange("servers/", 4, 9, List.of(item("servers/b", 9)), Set.of()));
+
+        duty.runStep();
+
+        assertThat(linesOf("store-change-skipped"))
+                .singleElement()
+                .asString()
+                .endsWith(" reason=not-listed skippedBefore=0");
+    }
+
+    @Test
+    void shouldReportAChangeThatIsOlderThanWhatWasRead() throws InterruptedException {
+        store.enqueueListing(new CoordinationStore.Listing(List.of(), 12));
+        updates.put(new PrefixChange("servers/", 4, 9, List.of(item("servers/a", 9)), Set.of()));
+
+        duty.runStep();
+
+        assertThat(linesOf("store-change-skipped"))
+                .containsExactly("store-change-skipped prefix=servers/ heldRevision=12 fromRevision=4 toRevision=9"
+                        + " reason=older skippedBefore=0");
+    }
+
     @Test
     void shouldNotTakeBackAServerThatIsGoneByAnOlderChange() throws InterruptedException {
         store.enqueueListing(new CoordinationStore.Listing(List.of(), 12));
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/OperatorWatchDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/OperatorWatchDutyTest.java
@@ -33,6 +33,7 @@
     private final ScriptedStore store = new ScriptedStore();
     private final List<ServingEvent> events = new ArrayList<>();
     private final List<OperatorUpdate> published = new ArrayList<>();
+    private final List<String> lines = new ArrayList<>();
     private final Ring<ControllerUpdate> updates = new ArrayRing<>("updates", 4);
     private final ConfirmedWatchGuard guard =
             new ConfirmedWatchGuard("op/", progress -> {}, () -> false, nanos -> {}, System::nanoTime);
@@ -43,7 +44,8 @@
             0,
             updates,
             new OperatorState(new NumbersDecoder(), events::add, new Readiness()),
-            published::add);
+            published::add,
+            (event, detail) -> lines.add(event + " " + detail));
 
     /** Returns the configuration of {@code version}, whose only route has the version as its timeout. */
     private static RoutingTable table(long version) {
@@ -136,6 +138,82 @@
         assertThat(publishedVersions()).containsExactly(1L, 3L);
     }
 
+    private List<String> linesOf(String event) {
+        return lines.stream().filter(line -> line.startsWith(event + " ")).toList();
+    }
+
+    /** Guards against a router that drops each update of a new controller while its log says nothing. */
+    @Test
+    void shouldReportAnUpdateThatDoesNotApplyOnceForTheVersionThatIsHeld() throws InterruptedException {
+        readVersionOne();
+        guard.confirm(new StoreProgress("op/", 9));
+        updates.put(update(9, 2, 3, Set.of()));
+        updates.put(update(10, 3, 4, Set.of()));
+        updates.put(update(11, 4, 5, Set.of()));
+
+        duty.runStep();
+        duty.runStep();
+        duty.runStep();
+
+        assertThat(linesOf("configuration-update-skipped"))
+                .containsExactly("configuration-update-skipped heldVersion=1 heldRevision=6 fromVersions=2,3"
+                        + " toVersion=3 revision=9 controller=r7 reason=does-not-apply skippedBefore=0");
+    }
+
+    @Test
+    void shouldCountTheUpdatesThatDidNotApplyOnceTheConfigurationIsReadAgain() throws InterruptedException {
+        readVersionOne();
+        updates.put(update(9, 2, 3, Set.of()));
+        updates.put(update(10, 3, 4, Set.of()));
+        guard.confirm(new StoreProgress("op/", 10));
+        duty.runStep();
+        duty.runStep();
+        Thread.sleep(ConfirmedWatchGuard.MAX_LAG_MILLIS + 10);
+        store.enqueueListing(new Listing(List.of(configuration(4, 10)), 11));
+
+        duty.runStep();
+        duty.runStep();
+
+        assertThat(linesOf("configuration-caught-up"))
+                .containsExactly("configuration-caught-up version=4 revision=11 skippedBefore=1");
+    }
+
+    @Test
+    void shouldReportAnUpdateThatIsOlderThanWhatWasRead() throws InterruptedException {
+        store.enqueueListing(new Listing(List.of(configuration(3, 9)), 12));
+        updates.put(update(8, 2, 3, Set.of()));
+
+        duty.runStep();
+
+        assertThat(linesOf("configuration-update-skipped"))
+                .singleElement()
+                .asString()
+                .contains("heldVersion=3 heldRevision=12 ", " revision=8 ", " reason=older ");
+    }
+
+    @Test
+    void shouldReportAnUpdateThatArrivesBeforeAnyConfigurationIsKnown() throws InterruptedException {
+        updates.put(update(8, 2, 3, Set.of()));
+
+        duty.runStep();
+
+        assertThat(linesOf("configuration-update-skipped"))
+                .singleElement()
+                .asString()
+                .contains("heldVersion=0 ", " reason=no-configuration ");
+    }
+
+    @Test
+    void shouldWriteNoLineAboutAnUpdateThatApplies() throws InterruptedException {
+        readVersionOne();
+        guard.confirm(new StoreProgress("op/", 9));
+        updates.put(update(9, 1, 2, Set.of()));
+
+        duty.runStep();
+
+        assertThat(linesOf("configuration-update-skipped")).isEmpty();
+    }
+
     @Test
     void shouldIgnoreAnUpdateThatIsOlderThanWhatWasRead() throws InterruptedException {
         store.enqueueListing(new Listing(List.of(configuration(3, 9)), 12));
--- /dev/null
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/SkippedUpdateLogTest.java
@@ -0,0 +1,50 @@
+package org.daisyscale.router.internal.serving;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class SkippedUpdateLogTest {
+    private final List<String> lines = new ArrayList<>();
+    private final SkippedUpdateLog skipped =
+            new SkippedUpdateLog((event, detail) -> lines.add(event + " " + detail), "skipped", "caught-up");
+
+    @Test
+    void shouldWriteOneLineForEachReasonWhileTheSameStateIsHeld() {
+        skipped.recordSkipped(UpdateResult.DOES_NOT_APPLY, 399, "to=403");
+        skipped.recordSkipped(UpdateResult.DOES_NOT_APPLY, 399, "to=404");
+        skipped.recordSkipped(UpdateResult.OLDER, 399, "to=398");
+        skipped.recordSkipped(UpdateResult.OLDER, 399, "to=397");
+
+        assertThat(lines)
+                .containsExactly(
+                        "skipped to=403 reason=does-not-apply skippedBefore=0",
+                        "skipped to=398 reason=older skippedBefore=1");
+    }
+
+    @Test
+    void shouldWriteALineAgainOnceAnotherStateIsHeld() {
+        skipped.recordSkipped(UpdateResult.DOES_NOT_APPLY, 399, "to=403");
+
+        skipped.recordSkipped(UpdateResult.DOES_NOT_APPLY, 405, "to=408");
+
+        assertThat(lines).last().isEqualTo("skipped to=408 reason=does-not-apply skippedBefore=0");
+    }
+
+    @Test
+    void shouldCountWhatHadNoLineOnceThisRouterHasCaughtUp() {
+        skipped.recordSkipped(UpdateResult.DOES_NOT_APPLY, 399, "to=403");
+        skipped.recordSkipped(UpdateResult.DOES_NOT_APPLY, 399, "to=404");
+        skipped.recordSkipped(UpdateResult.DOES_NOT_APPLY, 399, "to=405");
+
+        skipped.recordCaughtUp("version=405");
+        skipped.recordCaughtUp("version=405");
+
+        assertThat(lines)
+                .containsExactly(
+                        "skipped to=403 reason=does-not-apply skippedBefore=0",
+                        "caught-up version=405" + " skippedBefore=2");
+    }
+}
