Router: a duty reports when its view changes between controller and store

Nothing said whether a duty waited for the controller or read the store, nor why it went over. view-source-changed says so for each prefix at each switch, with the reason and how long the earlier state lasted. A failure of the store has one line until the controller is followed again; retries have none. The order of the calls and checks in the duties stays the same.

--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetWatchDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetWatchDuty.java
@@ -18,6 +18,7 @@
 import org.daisyscale.router.internal.log.EventLog;
 import org.daisyscale.router.internal.log.EventReporter;
 import org.daisyscale.router.internal.ring.Ring;
+import org.daisyscale.router.internal.serving.ViewSourceLog.Reason;
 import org.daisyscale.router.serving.StoreException;
 
 /**
@@ -58,6 +59,7 @@
     private final Map<String, Item> unpublishedItems = new LinkedHashMap<>();
     private final Set<String> unpublishedRemovals = new HashSet<>();
     private final StoreReachability reachability;
+    private final ViewSourceLog viewSource;
     private final SkippedUpdateLog skippedChanges;
     private long publishedRevision;
     private long revision;
@@ -70,7 +72,7 @@
      * @param updates the ring with changes that the controller read
      * @param publisher receives what this router read, for the other routers
      * @param batchMillis changes that follow each other within this time are read with one call, in milliseconds
-     * @param log receives what the duty skips
+     * @param log receives where the view comes from, and what was skipped
      */
     FleetWatchDuty(
             CoordinationStore store,
@@ -89,6 +91,7 @@
         this.publisher = publisher;
         this.listener = listener;
         this.reachability = new StoreReachability(prefix);
+        this.viewSource = new ViewSourceLog(log, prefix, System::nanoTime);
         this.skippedChanges = new SkippedUpdateLog(log, "store-change-skipped", "store-changes-caught-up");
     }
 
@@ -96,12 +99,13 @@
     void runStep() throws InterruptedException {
         try {
             if (isListed && guard.isConfirmed()) {
-                awaitUpdate(PROGRESS_CHECK_MILLIS);
-                isListed = guard.isConfirmed() && !guard.isBehind(revision);
+                followController();
             } else {
+                viewSource.recordStore(isListed ? Reason.CONTROLLER_SILENT : Reason.NOT_LISTED, revision);
                 readStore();
             }
         } catch (StoreException e) {
+            viewSource.recordStore(Reason.STORE_FAILED, revision);
             reachability.recordFailure(e, revision, guard.ageMillis());
             isListed = false;
             awaitUpdate(backoff.nextMillis());
@@ -111,6 +115,16 @@
         guard.logStaleView();
     }
 
+    private void followController() throws InterruptedException {
+        viewSource.recordController(revision);
+        awaitUpdate(PROGRESS_CHECK_MILLIS);
+        boolean isConfirmed = guard.isConfirmed();
+        isListed = isConfirmed && !guard.isBehind(revision);
+        if (!isListed) {
+            viewSource.recordStore(isConfirmed ? Reason.CONTROLLER_AHEAD : Reason.CONTROLLER_SILENT, revision);
+        }
+    }
+
     private void awaitUpdate(long millis) throws InterruptedException {
         Optional<PrefixChange> update = updates.poll(Duration.ofMillis(millis));
         while (update.isPresent()) {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorWatchDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorWatchDuty.java
@@ -12,6 +12,7 @@
 import org.daisyscale.router.internal.duty.Backoff;
 import org.daisyscale.router.internal.log.EventReporter;
 import org.daisyscale.router.internal.ring.Ring;
+import org.daisyscale.router.internal.serving.ViewSourceLog.Reason;
 import org.daisyscale.router.serving.StoreException;
 
 /**
@@ -40,6 +41,7 @@
     private final Consumer<OperatorUpdate> publisher;
     private final Backoff backoff = new Backoff(MIN_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS);
     private final StoreReachability reachability;
+    private final ViewSourceLog viewSource;
     private final SkippedUpdateLog skippedUpdates;
     private long revision;
     private long lastChangeRevision;
@@ -52,7 +54,7 @@
      * @param updates the ring with updates of the controller
      * @param publisher receives what this router read, for the other routers
      * @param batchMillis changes that follow each other within this time are read with one call, in milliseconds
-     * @param log receives what the duty skips
+     * @param log receives where the view comes from, and what was skipped
      */
     OperatorWatchDuty(
             CoordinationStore store,
@@ -71,6 +73,7 @@
         this.state = state;
         this.publisher = publisher;
         this.reachability = new StoreReachability(prefix);
+        this.viewSource = new ViewSourceLog(log, prefix, System::nanoTime);
         this.skippedUpdates = new SkippedUpdateLog(log, "configuration-update-skipped", "configuration-caught-up");
     }
 
@@ -78,12 +81,13 @@
     void runStep() throws InterruptedException {
         try {
             if (isListed && guard.isConfirmed()) {
-                awaitUpdate(PROGRESS_CHECK_MILLIS);
-                isListed = guard.isConfirmed() && !guard.isBehind(revision);
+                followController();
             } else {
+                viewSource.recordStore(isListed ? Reason.CONTROLLER_SILENT : Reason.NOT_LISTED, revision);
                 readStore();
             }
         } catch (StoreException e) {
+            viewSource.recordStore(Reason.STORE_FAILED, revision);
             reachability.recordFailure(e, revision, guard.ageMillis());
             isListed = false;
             awaitUpdate(backoff.nextMillis());
@@ -91,6 +95,16 @@
         guard.logStaleView();
     }
 
+    private void followController() throws InterruptedException {
+        viewSource.recordController(revision);
+        awaitUpdate(PROGRESS_CHECK_MILLIS);
+        boolean isConfirmed = guard.isConfirmed();
+        isListed = isConfirmed && !guard.isBehind(revision);
+        if (!isListed) {
+            viewSource.recordStore(isConfirmed ? Reason.CONTROLLER_AHEAD : Reason.CONTROLLER_SILENT, revision);
+        }
+    }
+
     private void awaitUpdate(long millis) throws InterruptedException {
         updates.poll(Duration.ofMillis(millis)).ifPresent(this::apply);
     }
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FleetWatchDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FleetWatchDutyTest.java
@@ -272,6 +272,26 @@
         assertThat(notifications).contains("written servers/b@8");
     }
 
+    @Test
+    void shouldReportWhereTheViewComesFrom() throws InterruptedException {
+        listOneServer();
+        guard.confirm(new StoreProgress("servers/", 4));
+        duty.runStep();
+        Thread.sleep(ConfirmedWatchGuard.CONFIRMATION_TIMEOUT_MILLIS);
+
+        duty.runStep();
+        duty.runStep();
+        duty.runStep();
+
+        assertThat(linesOf("view-source-changed"))
+                .extracting(line -> line.replaceAll(".* source=(\\S+) reason=(\\S+) .*", "$1 $2"))
+                .containsExactly(
+                        "store not-listed",
+                        "controller controller-confirms",
+                        "store controller-silent",
+                        "store" + " store-failed");
+    }
+
     /** Guards against servers that are dropped after an outage whose beginning only the controller noticed. */
     @Test
     void shouldCountAnOutageFromTheLastReportOfTheController() throws InterruptedException {
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/OperatorWatchDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/OperatorWatchDutyTest.java
@@ -241,6 +241,52 @@
         assertThat(publishedVersions()).containsExactly(1L, 2L);
     }
 
+    @Test
+    void shouldReportThatTheControllerIsFollowedAndThatItFellSilent() throws InterruptedException {
+        readVersionOne();
+        guard.confirm(new StoreProgress("op/", 5));
+        duty.runStep();
+        Thread.sleep(ConfirmedWatchGuard.CONFIRMATION_TIMEOUT_MILLIS);
+
+        duty.runStep();
+        duty.runStep();
+        duty.runStep();
+
+        assertThat(sources())
+                .containsExactly(
+                        "store not-listed",
+                        "controller controller-confirms",
+                        "store controller-silent",
+                        "store" + " store-failed");
+    }
+
+    @Test
+    void shouldReportThatTheControllerHasReadFurther() throws InterruptedException {
+        readVersionOne();
+        guard.confirm(new StoreProgress("op/", 9));
+        duty.runStep();
+        Thread.sleep(ConfirmedWatchGuard.MAX_LAG_MILLIS + 10);
+        store.enqueueListing(new Listing(List.of(configuration(3, 9)), 9));
+
+        duty.runStep();
+        duty.runStep();
+        duty.runStep();
+
+        assertThat(sources())
+                .containsExactly(
+                        "store not-listed",
+                        "controller controller-confirms",
+                        "store controller-ahead",
+                        "controller controller-confirms");
+    }
+
+    /** Returns the sources of the view and the reasons for them in the order of the lines. */
+    private List<String> sources() {
+        return linesOf("view-source-changed").stream()
+                .map(line -> line.replaceAll(".* source=(\\S+) reason=(\\S+) .*", "$1 $2"))
+                .toList();
+    }
+
     @Test
     void shouldReadOnlyTheNewestOfSeveralVersionsThatArriveTogether() throws InterruptedException {
         readVersionOne();
