Router: the controller's log says which updates it sends, and to how many routers

An update that reached nobody left no line: not when this router was not yet the controller, nor when no router was connected. operator-update-sent and operator-update-unsent have a line when that changes, and on the controller one for each newer version; peer-connected names the update that a new connection gets. What is sent stays the same.

--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
@@ -23,6 +23,7 @@
 import org.daisyscale.core.serving.ServingEvent;
 import org.daisyscale.router.internal.duty.DutyThread;
 import org.daisyscale.router.internal.log.EventLog;
+import org.daisyscale.router.internal.log.EventReporter;
 import org.daisyscale.router.internal.peer.PeerException;
 import org.daisyscale.router.internal.peer.PeerNetwork;
 import org.daisyscale.router.internal.peer.PeerSecret;
@@ -49,6 +50,8 @@
     private final Consumer<ServingEvent> servingEvents;
     private final Consumer<KeyEvent> keyEvents;
     private final Ring<ControllerUpdate> operatorUpdates;
+    private final EventReporter log;
+    private final PublishedUpdateLog publishedUpdates;
     private final Ring<Event> peerEvents = new ArrayRing<>("peer-events", RING_CAPACITY);
     private final List<ConfirmedWatchGuard> watchGuards = new ArrayList<>();
     private final Map<String, RouterEntry> routerById = new HashMap<>();
@@ -68,12 +71,15 @@
             Address address,
             Consumer<ServingEvent> servingEvents,
             Consumer<KeyEvent> keyEvents,
-            Ring<ControllerUpdate> operatorUpdates) {
+            Ring<ControllerUpdate> operatorUpdates,
+            EventReporter log) {
         this.routerId = routerId;
         this.address = address;
         this.servingEvents = servingEvents;
         this.keyEvents = keyEvents;
         this.operatorUpdates = operatorUpdates;
+        this.log = log;
+        this.publishedUpdates = new PublishedUpdateLog(log);
     }
 
     /** Adds a guard that receives the progress of the controller. */
@@ -106,9 +112,12 @@
      * Sends to all routers what operators wrote, once per update; does nothing on other routers than the controller.
      */
     synchronized void publish(OperatorUpdate update) {
-        if (isController() && !update.equals(lastUpdate)) {
+        if (!isController()) {
+            publishedUpdates.recordNotController(update);
+        } else if (!update.equals(lastUpdate)) {
             lastUpdate = update;
             connectedPeers.forEach(peer -> send(peer, update));
+            publishedUpdates.recordSent(update, connectedPeers.size());
         }
     }
 
@@ -132,7 +141,7 @@
 
     /** Records {@code newController} as the controller of the keys. */
     synchronized void setController(RouterEntry newController) {
-        EventLog.info("controller-seen", "controller=" + newController);
+        log.report("controller-seen", "controller=" + newController);
         controller = newController;
         mapByService.clear();
         lastUpdate = null;
@@ -245,19 +254,28 @@
     private synchronized void handle(Event event) {
         if (event instanceof Event.PeerConnected up) {
             connectedPeers.add(up.peer());
-            EventLog.info("peer-connected", "peer=" + up.peer());
+            OperatorUpdate update = isController() ? lastUpdate : null;
+            log.report("peer-connected", "peer=" + up.peer() + sentDetail(update));
+            if (update != null) {
+                send(up.peer(), update);
+            }
             if (isController()) {
-                Optional.ofNullable(lastUpdate).ifPresent(update -> send(up.peer(), update));
                 mapsOf(routerId).values().forEach(map -> send(up.peer(), new PeerMessage.KeyMapUpdate(map)));
             }
         } else if (event instanceof Event.PeerDisconnected down) {
             connectedPeers.remove(down.peer());
-            EventLog.info("peer-lost", "peer=" + down.peer());
+            log.report("peer-lost", "peer=" + down.peer());
         } else if (event instanceof Event.PeerMessageReceived received) {
             handle(received.from(), received.message());
         }
     }
 
+    private static String sentDetail(OperatorUpdate update) {
+        return update == null
+                ? ""
+                : " sentVersion=%d sentRevision=%d".formatted(update.table().version(), update.revision());
+    }
+
     private void handle(String from, PeerMessage message) {
         if (message instanceof PeerMessage.KeyLoadReport report) {
             keyEvents.accept(new KeyEvent.LoadReported(report.load()));
@@ -311,9 +329,9 @@
      * Queues {@code update}; when the ring is full, drops it. This router is then behind the controller and reads the
      * store instead.
      */
-    private static <T> void offer(Ring<T> ring, T update) {
+    private <T> void offer(Ring<T> ring, T update) {
         if (!ring.offer(update)) {
-            EventLog.info("controller-update-dropped", "ring=" + ring.name());
+            log.report("controller-update-dropped", "ring=" + ring.name());
         }
     }
 
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -78,7 +78,8 @@
                         settings.peers(),
                         blockingPut(servingEvents),
                         this::offerKeyEvent,
-                        operatorUpdates)) {
+                        operatorUpdates,
+                        EventLog::info)) {
             StoreClient store = new StoreClient(loop, settings.store(), dialect.store());
             LeaseDuty lease = createLeaseDuty(store);
             FleetListeners listeners =
