Router: metrics of the configuration in force, the controller's updates and reads of the store

The counters could not show a router that stays behind: there was no version, and neither skipped updates nor reads of the store were counted. New are daisyscale_serving_configuration_version, daisyscale_serving_controller_updates_total by prefix and result, and daisyscale_serving_store_reads_total by prefix and kind, counted by a store in front of the client. METRICS.md lists the metrics of ServingMetrics; ServingMetricsTest holds its table against the code as MetricsPageTest does for the other path, which leaves out only those rows.

--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetWatchDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetWatchDuty.java
@@ -16,7 +16,6 @@
 import org.daisyscale.core.platform.PrefixChange;
 import org.daisyscale.router.internal.duty.Backoff;
 import org.daisyscale.router.internal.log.EventLog;
-import org.daisyscale.router.internal.log.EventReporter;
 import org.daisyscale.router.internal.ring.Ring;
 import org.daisyscale.router.internal.serving.ViewSourceLog.Reason;
 import org.daisyscale.router.serving.StoreException;
@@ -60,6 +59,7 @@
     private final Set<String> unpublishedRemovals = new HashSet<>();
     private final StoreReachability reachability;
     private final ViewSourceLog viewSource;
+    private final Consumer<UpdateResult> results;
     private final SkippedUpdateLog skippedChanges;
     private long publishedRevision;
     private long revision;
@@ -72,7 +72,7 @@
      * @param updates the ring with changes that the controller read
      * @param publisher receives what this router read, for the other routers
      * @param batchMillis changes that follow each other within this time are read with one call, in milliseconds
-     * @param log receives where the view comes from, and what was skipped
+     * @param reports receives what the duty does
      */
     FleetWatchDuty(
             CoordinationStore store,
@@ -82,7 +82,7 @@
             Ring<PrefixChange> updates,
             Consumer<PrefixChange> publisher,
             Listener listener,
-            EventReporter log) {
+            WatchReports reports) {
         this.store = store;
         this.prefix = prefix;
         this.guard = guard;
@@ -91,8 +91,9 @@
         this.publisher = publisher;
         this.listener = listener;
         this.reachability = new StoreReachability(prefix);
-        this.viewSource = new ViewSourceLog(log, prefix, System::nanoTime);
-        this.skippedChanges = new SkippedUpdateLog(log, "store-change-skipped", "store-changes-caught-up");
+        this.results = reports.results();
+        this.viewSource = new ViewSourceLog(reports.log(), prefix, System::nanoTime);
+        this.skippedChanges = new SkippedUpdateLog(reports.log(), "store-change-skipped", "store-changes-caught-up");
     }
 
     /** Reads the store or waits for a change that the controller read, once. */
@@ -136,6 +137,7 @@
     /** Applies a change unless something before it is missing here, or this router has read further. */
     private void apply(PrefixChange update) {
         UpdateResult result = result(update);
+        results.accept(result);
         if (result == UpdateResult.APPLIED) {
             update.written().forEach(this::recordWritten);
             update.removedKeys().stream()
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorWatchDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorWatchDuty.java
@@ -10,7 +10,6 @@
 import org.daisyscale.core.platform.CoordinationStore.Changes;
 import org.daisyscale.core.serving.RoutingTableChange;
 import org.daisyscale.router.internal.duty.Backoff;
-import org.daisyscale.router.internal.log.EventReporter;
 import org.daisyscale.router.internal.ring.Ring;
 import org.daisyscale.router.internal.serving.ViewSourceLog.Reason;
 import org.daisyscale.router.serving.StoreException;
@@ -42,6 +41,7 @@
     private final Backoff backoff = new Backoff(MIN_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS);
     private final StoreReachability reachability;
     private final ViewSourceLog viewSource;
+    private final Consumer<UpdateResult> results;
     private final SkippedUpdateLog skippedUpdates;
     private long revision;
     private long lastChangeRevision;
@@ -54,7 +54,7 @@
      * @param updates the ring with updates of the controller
      * @param publisher receives what this router read, for the other routers
      * @param batchMillis changes that follow each other within this time are read with one call, in milliseconds
-     * @param log receives where the view comes from, and what was skipped
+     * @param reports receives what the duty does
      */
     OperatorWatchDuty(
             CoordinationStore store,
@@ -64,7 +64,7 @@
             Ring<ControllerUpdate> updates,
             OperatorState state,
             Consumer<OperatorUpdate> publisher,
-            EventReporter log) {
+            WatchReports reports) {
         this.store = store;
         this.prefix = prefix;
         this.guard = guard;
@@ -73,8 +73,10 @@
         this.state = state;
         this.publisher = publisher;
         this.reachability = new StoreReachability(prefix);
-        this.viewSource = new ViewSourceLog(log, prefix, System::nanoTime);
-        this.skippedUpdates = new SkippedUpdateLog(log, "configuration-update-skipped", "configuration-caught-up");
+        this.results = reports.results();
+        this.viewSource = new ViewSourceLog(reports.log(), prefix, System::nanoTime);
+        this.skippedUpdates =
+                new SkippedUpdateLog(reports.log(), "configuration-update-skipped", "configuration-caught-up");
     }
 
     /** Reads the store or waits for an update of the controller, once. */
@@ -112,6 +114,7 @@
     private void apply(ControllerUpdate received) {
         long updateRevision = received.update().revision();
         UpdateResult result = updateRevision > revision ? state.applyUpdate(received) : UpdateResult.OLDER;
+        results.accept(result);
         if (result == UpdateResult.APPLIED) {
             isListed = true;
             recordRevision(updateRevision, updateRevision);
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -6,6 +6,7 @@
 import org.daisyscale.core.keys.KeyAction;
 import org.daisyscale.core.keys.KeyController;
 import org.daisyscale.core.keys.KeyEvent;
+import org.daisyscale.core.platform.CoordinationStore;
 import org.daisyscale.core.serving.RequestRouter;
 import org.daisyscale.core.serving.ServingEvent;
 import org.daisyscale.router.internal.assembly.StopSignal;
@@ -62,9 +63,9 @@
     public ServingAssembly(ServingRouterSettings settings, PlatformDialect dialect) {
         this.settings = settings;
         this.dialect = dialect;
-        metrics.registerGauge("daisyscale_serving_open_requests", "Requests without a final answer", exchanges::size);
-        metrics.registerGauge("daisyscale_serving_ring_depth_decisions", "Events waiting", servingEvents::size);
-        metrics.registerGauge("daisyscale_serving_ring_depth_keys", "Events waiting", keyEvents::size);
+        metrics.registerOpenRequests(exchanges::size);
+        metrics.registerRingDepth(servingEvents);
+        metrics.registerRingDepth(keyEvents);
     }
 
     /** Runs until {@code stopSignal} requests the stop and the stop is complete. */
@@ -80,7 +81,8 @@
                         this::offerKeyEvent,
                         operatorUpdates,
                         EventLog::info)) {
-            StoreClient store = new StoreClient(loop, settings.store(), dialect.store());
+            CoordinationStore store =
+                    new CountedStore(new StoreClient(loop, settings.store(), dialect.store()), metrics);
             LeaseDuty lease = createLeaseDuty(store);
             FleetListeners listeners =
                     new FleetListeners(dialect.fleet(), blockingPut(servingEvents), blockingPut(keyEvents), readiness);
@@ -126,7 +128,7 @@
         }
     }
 
-    private LeaseDuty createLeaseDuty(StoreClient store) {
+    private LeaseDuty createLeaseDuty(CoordinationStore store) {
         Address peers = settings.peers();
         RouterEntry self =
                 new RouterEntry(settings.serving().routerId(), peers.host(), peers.port(), 0, settings.cores());
@@ -166,7 +168,7 @@
     }
 
     private DutyThread startFleetWatch(
-            StoreClient store,
+            CoordinationStore store,
             String prefix,
             ControllerLink controller,
             FleetWatchDuty.Listener listener,
@@ -180,18 +182,29 @@
                 controller.changesOf(prefix),
                 controller::publish,
                 listener,
-                EventLog::info);
+                reports(prefix));
         return DutyThread.start("watch-" + prefix, duty::runStep);
     }
 
-    private DutyThread startOperatorWatch(StoreClient store, ControllerLink controller, OperatorState state) {
+    private DutyThread startOperatorWatch(CoordinationStore store, ControllerLink controller, OperatorState state) {
         String prefix = dialect.fleet().operatorPrefix();
         ConfirmedWatchGuard guard = createGuard(prefix, controller, this::offerConfirmation);
         OperatorWatchDuty duty = new OperatorWatchDuty(
-                store, prefix, guard, CHANGE_BATCH_MILLIS, operatorUpdates, state, controller::publish, EventLog::info);
+                store,
+                prefix,
+                guard,
+                CHANGE_BATCH_MILLIS,
+                operatorUpdates,
+                state,
+                controller::publish,
+                reports(prefix));
         return DutyThread.start("watch-" + prefix, duty::runStep);
     }
 
+    private WatchReports reports(String prefix) {
+        return new WatchReports(EventLog::info, result -> metrics.controllerUpdate(prefix, result));
+    }
+
     private ConfirmedWatchGuard createGuard(String prefix, ControllerLink controller, LongConsumer onCurrent) {
         ConfirmedWatchGuard guard = new ConfirmedWatchGuard(
                 prefix, controller::publish, controller::isController, onCurrent, System::nanoTime);
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingDuty.java
@@ -54,6 +54,7 @@
         ServingEvent event = events.poll(wait).orElseGet(ServingEvent.TimePassed::new);
         if (event instanceof ServingEvent.TableChanged changed) {
             exchanges.setLimits(changed.table().limits());
+            metrics.configurationInForce(changed.table().version());
         } else if (event instanceof ServingEvent.AttemptEnded ended) {
             recordAttempt(ended);
         }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingMetrics.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingMetrics.java
@@ -10,8 +10,10 @@
 import java.io.UncheckedIOException;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
+import org.daisyscale.router.internal.ring.Ring;
 
 /** The metrics of a router that assigns requests to backend servers itself. Thread-safe. */
 final class ServingMetrics {
@@ -24,6 +26,9 @@
     private final Counter attempts;
     private final Counter ringFull;
     private final Counter keyCalls;
+    private final Counter controllerUpdates;
+    private final Counter storeReads;
+    private final AtomicLong configurationVersion = new AtomicLong();
     private final Map<String, LongSupplier> viewAgeByPrefix = new ConcurrentHashMap<>();
 
     ServingMetrics() {
@@ -31,6 +36,17 @@
         attempts = counter("daisyscale_serving_attempts", "Attempts at backend servers by outcome", "outcome");
         ringFull = counter("daisyscale_serving_ring_full", "Items that found a ring full", "ring");
         keyCalls = counter("daisyscale_serving_key_calls", "Grants and releases by end", "end");
+        controllerUpdates = counter(
+                "daisyscale_serving_controller_updates",
+                "Updates of the controller by what became of them at this router",
+                "prefix",
+                "result");
+        storeReads =
+                counter("daisyscale_serving_store_reads", "Reads of the store that were started", "prefix", "kind");
+        registerGauge(
+                "daisyscale_serving_configuration_version",
+                "Version of the configuration in force at this router; 0 before there is one",
+                configurationVersion::get);
         latency = Histogram.builder()
                 .name("daisyscale_serving_seconds")
                 .help("Time from a whole request to its final answer")
@@ -47,8 +63,8 @@
                 .register(registry);
     }
 
-    private Counter counter(String name, String help, String label) {
-        return Counter.builder().name(name).help(help).labelNames(label).register(registry);
+    private Counter counter(String name, String help, String... labels) {
+        return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
     }
 
     void requestEnded(String code, long durationMillis) {
@@ -68,12 +84,37 @@
         keyCalls.labelValues(end).inc();
     }
 
+    /** Records what became of an update that the controller sent for {@code prefix}. */
+    void controllerUpdate(String prefix, UpdateResult result) {
+        controllerUpdates.labelValues(prefix, result.label()).inc();
+    }
+
+    /** Records that a read of the items under {@code prefix} was started; {@code kind} is list or watch. */
+    void storeRead(String prefix, String kind) {
+        storeReads.labelValues(prefix, kind).inc();
+    }
+
+    /** Records that the configuration {@code version} is in force. */
+    void configurationInForce(long version) {
+        configurationVersion.set(version);
+    }
+
+    /** Registers the number of requests without a final answer. */
+    void registerOpenRequests(DoubleSupplier count) {
+        registerGauge("daisyscale_serving_open_requests", "Requests without a final answer", count);
+    }
+
+    /** Registers the number of events that wait in {@code ring}. */
+    void registerRingDepth(Ring<?> ring) {
+        registerGauge("daisyscale_serving_ring_depth_" + ring.name(), "Events waiting", ring::size);
+    }
+
     /** Registers the age of the view of {@code prefix}, in milliseconds. */
     void registerViewAge(String prefix, LongSupplier ageMillis) {
         viewAgeByPrefix.put(prefix, ageMillis);
     }
 
-    void registerGauge(String name, String help, DoubleSupplier value) {
+    private void registerGauge(String name, String help, DoubleSupplier value) {
         GaugeWithCallback.builder()
                 .name(name)
                 .help(help)
--- a/daisyscale-router/src/test/java/org/daisyscale/router/MetricsPageTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/MetricsPageTest.java
@@ -26,6 +26,8 @@
 
 class MetricsPageTest {
     private static final String OWN = "# TYPE daisyscale_";
+    /** Rows of the other request path, which ServingMetricsTest compares. */
+    private static final String OTHER_PATH = "| `daisyscale_serving_";
 
     @Test
     void shouldListEveryMetricOfARouterWithItsType() throws Exception {
@@ -87,7 +89,7 @@
 
     private static Set<String> listedMetrics() throws IOException {
         return Files.readAllLines(Path.of("..", "docs", "METRICS.md")).stream()
-                .filter(line -> line.startsWith("| `daisyscale_"))
+                .filter(line -> line.startsWith("| `daisyscale_") && !line.startsWith(OTHER_PATH))
                 .map(line -> line.split("\\|"))
                 .map(cells -> cells[1].strip().replace("`", "") + "|" + cells[2].strip())
                 .collect(Collectors.toCollection(TreeSet::new));
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FleetWatchDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FleetWatchDutyTest.java
@@ -22,6 +22,7 @@
     private final ConfirmedWatchGuard guard =
             new ConfirmedWatchGuard("servers/", progress -> {}, () -> false, nanos -> {}, System::nanoTime);
     private final List<String> lines = new ArrayList<>();
+    private final List<UpdateResult> results = new ArrayList<>();
     private final FleetWatchDuty duty = new FleetWatchDuty(
             store,
             "servers/",
@@ -49,7 +50,7 @@
                     notifications.add("listed");
                 }
             },
-            (event, detail) -> lines.add(event + " " + detail));
+            new WatchReports((event, detail) -> lines.add(event + " " + detail), results::add));
 
     private static CoordinationStore.Item item(String key, long revision) {
         return new CoordinationStore.Item(key, new byte[0], revision);
@@ -222,6 +223,19 @@
                 .containsExactly("store-changes-caught-up prefix=servers/ revision=11 skippedBefore=1");
     }
 
+    @Test
+    void shouldSayWhatBecameOfEachChangeThatTheControllerRead() throws InterruptedException {
+        listOneServer();
+        guard.confirm(new StoreProgress("servers/", 9));
+        updates.put(new PrefixChange("servers/", 1, 3, List.of(), Set.of("servers/b")));
+        updates.put(new PrefixChange("servers/", 7, 9, List.of(item("servers/b", 9)), Set.of()));
+        updates.put(new PrefixChange("servers/", 4, 9, List.of(item("servers/b", 9)), Set.of()));
+
+        duty.runStep();
+
+        assertThat(results).containsExactly(UpdateResult.OLDER, UpdateResult.DOES_NOT_APPLY, UpdateResult.APPLIED);
+    }
+
     @Test
     void shouldReportAChangeThatArrivesBeforeTheItemsAreListed() throws InterruptedException {
         updates.put(new PrefixChange("servers/", 4, 9, List.of(item("servers/b", 9)), Set.of()));
@@ -289,7 +303,7 @@
                         "store not-listed",
                         "controller controller-confirms",
                         "store controller-silent",
-                        "store" + " store-failed");
+                        "store store-failed");
     }
 
     /** Guards against servers that are dropped after an outage whose beginning only the controller noticed. */
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ServingDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ServingDutyTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import org.daisyscale.core.error.CoreErrorCode;
@@ -19,6 +20,7 @@
     private final List<Exchange.Outcome> outcomes = new ArrayList<>();
     private final Ring<ServingEvent> events = new ArrayRing<>("decisions", 4);
     private final ExchangeRegistry exchanges = new ExchangeRegistry();
+    private final ServingMetrics metrics = new ServingMetrics();
 
     private ServingDuty dutyThatRejects(ServingAction.Reject rejection) {
         return new ServingDuty(
@@ -30,7 +32,7 @@
                 load -> {},
                 news -> {},
                 (event, detail) -> lines.add(event + " " + detail),
-                new ServingMetrics());
+                metrics);
     }
 
     private void arrive() throws InterruptedException {
@@ -67,6 +69,17 @@
         assertThat(lines).singleElement().asString().endsWith(" code=DSC-1109 retryAfterMillis=20 service=s");
     }
 
+    @Test
+    void shouldGiveTheVersionOfTheConfigurationAsAMetric() throws InterruptedException {
+        ServingDuty duty = dutyThatRejects(new ServingAction.Reject(1, CoreErrorCode.NO_SERVER, "service=s", 20));
+        events.put(new ServingEvent.TableChanged(NumberedConfigurations.table(403)));
+
+        duty.runStep();
+
+        assertThat(new String(metrics.exposition(), StandardCharsets.UTF_8))
+                .contains("daisyscale_serving_configuration_version 403.0");
+    }
+
     /** Answers each event with the same rejection. */
     private record RejectingRouter(ServingAction.Reject rejection) implements RequestRouter {
 
--- /dev/null
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ServingMetricsTest.java
@@ -0,0 +1,103 @@
+package org.daisyscale.router.internal.serving;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import org.daisyscale.core.platform.CoordinationStore;
+import org.daisyscale.router.internal.ring.ArrayRing;
+import org.daisyscale.router.serving.StoreException;
+import org.junit.jupiter.api.Test;
+
+class ServingMetricsTest {
+    private final ServingMetrics metrics = new ServingMetrics();
+
+    private List<String> samples() {
+        return new String(metrics.exposition(), StandardCharsets.UTF_8)
+                .lines()
+                .filter(line -> !line.startsWith("#"))
+                .toList();
+    }
+
+    @Test
+    void shouldGiveTheVersionOfTheConfigurationInForce() {
+        assertThat(samples()).contains("daisyscale_serving_configuration_version 0.0");
+
+        metrics.configurationInForce(403);
+
+        assertThat(samples()).contains("daisyscale_serving_configuration_version 403.0");
+    }
+
+    @Test
+    void shouldCountUpdatesOfTheControllerByPrefixAndResult() {
+        metrics.controllerUpdate("op/", UpdateResult.APPLIED);
+        metrics.controllerUpdate("op/", UpdateResult.DOES_NOT_APPLY);
+        metrics.controllerUpdate("op/", UpdateResult.DOES_NOT_APPLY);
+
+        assertThat(samples())
+                .contains(
+                        "daisyscale_serving_controller_updates_total{prefix=\"op/\",result=\"applied\"} 1.0",
+                        "daisyscale_serving_controller_updates_total{prefix=\"op/\",result=\"does-not-apply\"} 2.0");
+    }
+
+    @Test
+    void shouldCountReadsOfTheStoreByPrefixAndKindWhetherTheyAreAnsweredOrNot() {
+        ScriptedStore scripted = new ScriptedStore();
+        CoordinationStore store = new CountedStore(scripted, metrics);
+        scripted.enqueueListing(new CoordinationStore.Listing(List.of(), 4));
+        scripted.enqueueWatchResult(Optional.empty());
+
+        store.list("op/");
+        store.watch("op/", 4, Duration.ofMillis(1), () -> false);
+        assertThatThrownBy(() -> store.list("op/")).isInstanceOf(StoreException.class);
+
+        assertThat(samples())
+                .contains(
+                        "daisyscale_serving_store_reads_total{kind=\"list\",prefix=\"op/\"} 2.0",
+                        "daisyscale_serving_store_reads_total{kind=\"watch\",prefix=\"op/\"} 1.0");
+    }
+
+    @Test
+    void shouldListEveryMetricWithItsType() throws IOException {
+        useEachMetric();
+
+        Set<String> exported = new String(metrics.exposition(), StandardCharsets.UTF_8)
+                .lines()
+                .filter(line -> line.startsWith("# TYPE "))
+                .map(line -> line.substring("# TYPE ".length()).replace(' ', '|'))
+                .collect(Collectors.toCollection(TreeSet::new));
+
+        assertThat(listedMetrics()).isEqualTo(exported);
+    }
+
+    /** Uses each metric once: a metric with labels is exported only after its first use. */
+    private void useEachMetric() {
+        metrics.requestEnded("answered", 7);
+        metrics.attemptEnded("ANSWERED");
+        metrics.ringFull("decisions");
+        metrics.keyCallEnded("granted");
+        metrics.controllerUpdate("op/", UpdateResult.APPLIED);
+        metrics.storeRead("op/", "list");
+        metrics.registerViewAge("op/", () -> 40);
+        metrics.registerOpenRequests(() -> 1);
+        metrics.registerRingDepth(new ArrayRing<>("decisions", 4));
+        metrics.registerRingDepth(new ArrayRing<>("keys", 4));
+    }
+
+    private static Set<String> listedMetrics() throws IOException {
+        return Files.readAllLines(Path.of("..", "docs", "METRICS.md")).stream()
+                .filter(line -> line.startsWith("| `daisyscale_serving_"))
+                .map(line -> line.split("\\|"))
+                .map(cells -> cells[1].strip().replace("`", "") + "|" + cells[2].strip())
+                .collect(Collectors.toCollection(TreeSet::new));
+    }
+}
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/SkippedUpdateLogTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/SkippedUpdateLogTest.java
@@ -45,6 +45,6 @@
         assertThat(lines)
                 .containsExactly(
                         "skipped to=403 reason=does-not-apply skippedBefore=0",
-                        "caught-up version=405" + " skippedBefore=2");
+                        "caught-up version=405 skippedBefore=2");
     }
 }
