--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetWatchDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetWatchDuty.java
@@ -17,6 +17,7 @@
 import org.daisyscale.router.internal.duty.Backoff;
 import org.daisyscale.router.internal.log.EventLog;
 import org.daisyscale.router.internal.ring.Ring;
+import org.daisyscale.router.internal.serving.ViewSourceLog.Reason;
 import org.daisyscale.router.serving.StoreException;
 
 /**
@@ -57,6 +58,9 @@
     private final Map<String, Item> unpublishedItems = new LinkedHashMap<>();
     private final Set<String> unpublishedRemovals = new HashSet<>();
     private final StoreReachability reachability;
+    private final ViewSourceLog viewSource;
+    private final Consumer<UpdateResult> results;
+    private final SkippedUpdateLog skippedChanges;
     private long publishedRevision;
     private long revision;
     private long lastChangeRevision;
@@ -68,6 +72,7 @@
      * @param updates the ring with changes that the controller read
      * @param publisher receives what this router read, for the other routers
      * @param batchMillis changes that follow each other within this time are read with one call, in milliseconds
+     * @param reports receives what the duty does
      */
     FleetWatchDuty(
             CoordinationStore store,
@@ -76,7 +81,8 @@
             long batchMillis,
             Ring<PrefixChange> updates,
             Consumer<PrefixChange> publisher,
-            Listener listener) {
+            Listener listener,
+            WatchReports reports) {
         this.store = store;
         this.prefix = prefix;
         this.guard = guard;
@@ -85,18 +91,22 @@
         this.publisher = publisher;
         this.listener = listener;
         this.reachability = new StoreReachability(prefix);
+        this.results = reports.results();
+        this.viewSource = new ViewSourceLog(reports.log(), prefix, System::nanoTime);
+        this.skippedChanges = new SkippedUpdateLog(reports.log(), "store-change-skipped", "store-changes-caught-up");
     }
 
     /** Reads the store or waits for a change that the controller read, once. */
     void runStep() throws InterruptedException {
         try {
             if (isListed && guard.isConfirmed()) {
-                awaitUpdate(PROGRESS_CHECK_MILLIS);
-                isListed = guard.isConfirmed() && !guard.isBehind(revision);
+                followController();
             } else {
+                viewSource.recordStore(isListed ? Reason.CONTROLLER_SILENT : Reason.NOT_LISTED, revision);
                 readStore();
             }
         } catch (StoreException e) {
+            viewSource.recordStore(Reason.STORE_FAILED, revision);
             reachability.recordFailure(e, revision, guard.ageMillis());
             isListed = false;
             awaitUpdate(backoff.nextMillis());
@@ -106,6 +116,16 @@
         guard.logStaleView();
     }
 
+    private void followController() throws InterruptedException {
+        viewSource.recordController(revision);
+        awaitUpdate(PROGRESS_CHECK_MILLIS);
+        boolean isConfirmed = guard.isConfirmed();
+        isListed = isConfirmed && !guard.isBehind(revision);
+        if (!isListed) {
+            viewSource.recordStore(isConfirmed ? Reason.CONTROLLER_AHEAD : Reason.CONTROLLER_SILENT, revision);
+        }
+    }
+
     private void awaitUpdate(long millis) throws InterruptedException {
         Optional<PrefixChange> update = updates.poll(Duration.ofMillis(millis));
         while (update.isPresent()) {
@@ -116,7 +136,9 @@
 
     /** Applies a change unless something before it is missing here, or this router has read further. */
     private void apply(PrefixChange update) {
-        if (isListed && update.fromRevision() <= revision && revision <= update.revision()) {
+        UpdateResult result = result(update);
+        results.accept(result);
+        if (result == UpdateResult.APPLIED) {
             update.written().forEach(this::recordWritten);
             update.removedKeys().stream()
                     .filter(key ->
@@ -124,10 +146,30 @@
                     .forEach(this::remove);
             revision = update.revision();
             lastChangeRevision = Math.max(lastChangeRevision, update.revision());
-            guard.recordRevision(lastChangeRevision);
+            recordCurrent();
+        } else {
+            String detail = "prefix=%s heldRevision=%d fromRevision=%d toRevision=%d"
+                    .formatted(prefix, revision, update.fromRevision(), update.revision());
+            skippedChanges.recordSkipped(result, revision, detail);
         }
     }
 
+    /** Returns whether a change applies to what is known here, and why not. */
+    private UpdateResult result(PrefixChange update) {
+        if (!isListed) {
+            return UpdateResult.NOT_LISTED;
+        }
+        if (revision > update.revision()) {
+            return UpdateResult.OLDER;
+        }
+        return update.fromRevision() <= revision ? UpdateResult.APPLIED : UpdateResult.DOES_NOT_APPLY;
+    }
+
+    private void recordCurrent() {
+        guard.recordRevision(lastChangeRevision);
+        skippedChanges.recordCaughtUp("prefix=%s revision=%d".formatted(prefix, revision));
+    }
+
     private void readStore() throws InterruptedException {
         if (isListed) {
             watch();
@@ -179,7 +221,7 @@
     private void handleEmptyWatch(long storeRevision) {
         isListed = storeRevision <= revision;
         if (isListed) {
-            guard.recordRevision(lastChangeRevision);
+            recordCurrent();
         }
     }
 
@@ -199,7 +241,7 @@
         listed.values().forEach(this::recordWritten);
         revision = listing.revision();
         isListed = true;
-        guard.recordRevision(lastChangeRevision);
+        recordCurrent();
         listener.onListed();
     }
 
@@ -218,7 +260,7 @@
             }
         }
         revision = Math.max(revision, changes.revision());
-        guard.recordRevision(lastChangeRevision);
+        recordCurrent();
     }
 
     private boolean isWithinGrace() {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorState.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorState.java
@@ -8,6 +8,7 @@
 import org.daisyscale.core.peer.PeerMessage.OperatorUpdate;
 import org.daisyscale.core.platform.CoordinationStore.Item;
 import org.daisyscale.core.platform.CoordinationStore.ItemChange;
+import org.daisyscale.core.serving.ConfigurationSource;
 import org.daisyscale.core.serving.RoutingTable;
 import org.daisyscale.core.serving.RoutingTableHistory;
 import org.daisyscale.core.serving.ServingEvent;
@@ -73,23 +74,29 @@
         }
     }
 
-    /** Applies an update of the controller; returns false when it cannot be applied to the table that is known here. */
-    boolean applyUpdate(OperatorUpdate update) {
+    /** Returns the version of the configuration that is known here; 0 for none. */
+    long version() {
+        return table == null ? 0 : table.version();
+    }
+
+    /** Applies an update of the controller if it can be applied to the table that is known here. */
+    UpdateResult applyUpdate(ControllerUpdate received) {
+        OperatorUpdate update = received.update();
         if (table == null) {
-            return false;
+            return UpdateResult.NO_CONFIGURATION;
         }
         if (table.version() < update.table().version()) {
             if (!update.table().appliesTo(table)) {
-                return false;
+                return UpdateResult.DOES_NOT_APPLY;
             }
             EventLog.info(
                     "configuration-told",
                     "version=%d from=%d revision=%d"
                             .formatted(update.table().version(), table.version(), update.revision()));
-            applyTable(update.table().applyTo(table));
+            applyTable(update.table().applyTo(table), received.source());
         }
         setEvacuated(update.evacuatedDataCentres());
-        return true;
+        return UpdateResult.APPLIED;
     }
 
     /**
@@ -113,14 +120,14 @@
             EventLog.info(
                     "configuration-seen",
                     "version=%d revision=%d bytes=%d".formatted(read.version(), item.revision(), item.value().length));
-            applyTable(read);
+            applyTable(read, ConfigurationSource.fromStore(item.revision()));
         });
     }
 
-    private void applyTable(RoutingTable newer) {
+    private void applyTable(RoutingTable newer, ConfigurationSource source) {
         if (table == null || newer.version() > table.version()) {
             table = newer;
-            events.accept(new ServingEvent.TableChanged(newer));
+            events.accept(new ServingEvent.TableChanged(newer, source));
             readiness.markTableKnown();
         }
     }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorWatchDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorWatchDuty.java
@@ -1,13 +1,17 @@
 package org.daisyscale.router.internal.serving;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.daisyscale.core.peer.PeerMessage.OperatorUpdate;
 import org.daisyscale.core.platform.CoordinationStore;
 import org.daisyscale.core.platform.CoordinationStore.Changes;
+import org.daisyscale.core.serving.RoutingTableChange;
 import org.daisyscale.router.internal.duty.Backoff;
 import org.daisyscale.router.internal.ring.Ring;
+import org.daisyscale.router.internal.serving.ViewSourceLog.Reason;
 import org.daisyscale.router.serving.StoreException;
 
 /**
@@ -24,16 +28,21 @@
     private static final long MAX_BACKOFF_MILLIS = 800;
     /** Interval at which a router checks whether the controller has read further, in milliseconds. */
     private static final long PROGRESS_CHECK_MILLIS = 100;
+    /** Maximum number of versions in one log line; the newest ones are kept. */
+    private static final int MAX_LOGGED_VERSIONS = 32;
 
     private final CoordinationStore store;
     private final String prefix;
     private final ConfirmedWatchGuard guard;
     private final long batchMillis;
-    private final Ring<OperatorUpdate> updates;
+    private final Ring<ControllerUpdate> updates;
     private final OperatorState state;
     private final Consumer<OperatorUpdate> publisher;
     private final Backoff backoff = new Backoff(MIN_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS);
     private final StoreReachability reachability;
+    private final ViewSourceLog viewSource;
+    private final Consumer<UpdateResult> results;
+    private final SkippedUpdateLog skippedUpdates;
     private long revision;
     private long lastChangeRevision;
     private boolean isListed;
@@ -45,15 +54,17 @@
      * @param updates the ring with updates of the controller
      * @param publisher receives what this router read, for the other routers
      * @param batchMillis changes that follow each other within this time are read with one call, in milliseconds
+     * @param reports receives what the duty does
      */
     OperatorWatchDuty(
             CoordinationStore store,
             String prefix,
             ConfirmedWatchGuard guard,
             long batchMillis,
-            Ring<OperatorUpdate> updates,
+            Ring<ControllerUpdate> updates,
             OperatorState state,
-            Consumer<OperatorUpdate> publisher) {
+            Consumer<OperatorUpdate> publisher,
+            WatchReports reports) {
         this.store = store;
         this.prefix = prefix;
         this.guard = guard;
@@ -62,18 +73,23 @@
         this.state = state;
         this.publisher = publisher;
         this.reachability = new StoreReachability(prefix);
+        this.results = reports.results();
+        this.viewSource = new ViewSourceLog(reports.log(), prefix, System::nanoTime);
+        this.skippedUpdates =
+                new SkippedUpdateLog(reports.log(), "configuration-update-skipped", "configuration-caught-up");
     }
 
     /** Reads the store or waits for an update of the controller, once. */
     void runStep() throws InterruptedException {
         try {
             if (isListed && guard.isConfirmed()) {
-                awaitUpdate(PROGRESS_CHECK_MILLIS);
-                isListed = guard.isConfirmed() && !guard.isBehind(revision);
+                followController();
             } else {
+                viewSource.recordStore(isListed ? Reason.CONTROLLER_SILENT : Reason.NOT_LISTED, revision);
                 readStore();
             }
         } catch (StoreException e) {
+            viewSource.recordStore(Reason.STORE_FAILED, revision);
             reachability.recordFailure(e, revision, guard.ageMillis());
             isListed = false;
             awaitUpdate(backoff.nextMillis());
@@ -81,17 +97,53 @@
         guard.logStaleView();
     }
 
+    private void followController() throws InterruptedException {
+        viewSource.recordController(revision);
+        awaitUpdate(PROGRESS_CHECK_MILLIS);
+        boolean isConfirmed = guard.isConfirmed();
+        isListed = isConfirmed && !guard.isBehind(revision);
+        if (!isListed) {
+            viewSource.recordStore(isConfirmed ? Reason.CONTROLLER_AHEAD : Reason.CONTROLLER_SILENT, revision);
+        }
+    }
+
     private void awaitUpdate(long millis) throws InterruptedException {
         updates.poll(Duration.ofMillis(millis)).ifPresent(this::apply);
     }
 
-    private void apply(OperatorUpdate update) {
-        if (update.revision() > revision && state.applyUpdate(update)) {
+    private void apply(ControllerUpdate received) {
+        long updateRevision = received.update().revision();
+        UpdateResult result = updateRevision > revision ? state.applyUpdate(received) : UpdateResult.OLDER;
+        results.accept(result);
+        if (result == UpdateResult.APPLIED) {
             isListed = true;
-            recordRevision(update.revision(), update.revision());
+            recordRevision(updateRevision, updateRevision);
+        } else {
+            recordSkipped(result, received);
         }
     }
 
+    private void recordSkipped(UpdateResult reason, ControllerUpdate received) {
+        RoutingTableChange change = received.update().table();
+        String detail = "heldVersion=%d heldRevision=%d fromVersions=%s toVersion=%d revision=%d controller=%s"
+                .formatted(
+                        state.version(),
+                        revision,
+                        newestVersions(change),
+                        change.version(),
+                        received.update().revision(),
+                        received.controllerId());
+        skippedUpdates.recordSkipped(reason, state.version(), detail);
+    }
+
+    private static String newestVersions(RoutingTableChange change) {
+        List<Long> versions = change.fromVersions().stream().sorted().toList();
+        int leftOutCount = Math.max(0, versions.size() - MAX_LOGGED_VERSIONS);
+        return versions.subList(leftOutCount, versions.size()).stream()
+                .map(String::valueOf)
+                .collect(Collectors.joining(",", leftOutCount == 0 ? "" : "...", ""));
+    }
+
     private void readStore() throws InterruptedException {
         if (isListed && !isChangingQuickly) {
             watch();
@@ -155,5 +207,6 @@
         lastChangeRevision = Math.max(lastChangeRevision, newestChange);
         state.createUpdate(lastChangeRevision).ifPresent(publisher);
         guard.recordRevision(lastChangeRevision);
+        skippedUpdates.recordCaughtUp("version=%d revision=%d".formatted(state.version(), revision));
     }
 }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -2,10 +2,11 @@
 
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.daisyscale.core.keys.KeyAction;
 import org.daisyscale.core.keys.KeyController;
 import org.daisyscale.core.keys.KeyEvent;
-import org.daisyscale.core.peer.PeerMessage.OperatorUpdate;
+import org.daisyscale.core.platform.CoordinationStore;
 import org.daisyscale.core.serving.RequestRouter;
 import org.daisyscale.core.serving.ServingEvent;
 import org.daisyscale.router.internal.assembly.StopSignal;
@@ -55,16 +56,16 @@
     private final CallerConnections connections = new CallerConnections();
     private final Ring<ServingEvent> servingEvents = new ArrayRing<>("decisions", RING_CAPACITY);
     private final Ring<KeyEvent> keyEvents = new ArrayRing<>("keys", RING_CAPACITY);
-    private final Ring<OperatorUpdate> operatorUpdates = new ArrayRing<>("operator-updates", UPDATE_RING_CAPACITY);
+    private final Ring<ControllerUpdate> operatorUpdates = new ArrayRing<>("operator-updates", UPDATE_RING_CAPACITY);
     private final Ring<KeyAction> mapActions = new ArrayRing<>("key-maps", RING_CAPACITY);
 
     /** Creates the assembly without starting it. */
     public ServingAssembly(ServingRouterSettings settings, PlatformDialect dialect) {
         this.settings = settings;
         this.dialect = dialect;
-        metrics.registerGauge("daisyscale_serving_open_requests", "Requests without a final answer", exchanges::size);
-        metrics.registerGauge("daisyscale_serving_ring_depth_decisions", "Events waiting", servingEvents::size);
-        metrics.registerGauge("daisyscale_serving_ring_depth_keys", "Events waiting", keyEvents::size);
+        metrics.registerOpenRequests(exchanges::size);
+        metrics.registerRingDepth(servingEvents);
+        metrics.registerRingDepth(keyEvents);
     }
 
     /** Runs until {@code stopSignal} requests the stop and the stop is complete. */
@@ -78,8 +79,10 @@
                         settings.peers(),
                         blockingPut(servingEvents),
                         this::offerKeyEvent,
-                        operatorUpdates)) {
-            StoreClient store = new StoreClient(loop, settings.store(), dialect.store());
+                        operatorUpdates,
+                        EventLog::info)) {
+            CoordinationStore store =
+                    new CountedStore(new StoreClient(loop, settings.store(), dialect.store()), metrics);
             LeaseDuty lease = createLeaseDuty(store);
             FleetListeners listeners =
                     new FleetListeners(dialect.fleet(), blockingPut(servingEvents), blockingPut(keyEvents), readiness);
@@ -91,13 +94,13 @@
                             dialect.fleet().serverPrefix(),
                             controller,
                             listeners.createServerListener(),
-                            () -> {});
+                            nanos -> {});
                     DutyThread routers = startFleetWatch(
                             store,
                             StoreKeys.PREFIX,
                             controller,
                             listeners.createRouterListener(settings.serving().routerId(), lease, controller),
-                            listeners::confirmRouters);
+                            nanos -> listeners.confirmRouters());
                     DutyThread leases = DutyThread.start("lease", lease::runStep);
                     DutyThread polls = DutyThread.start(
                             "key-map-polls",
@@ -125,7 +128,7 @@
         }
     }
 
-    private LeaseDuty createLeaseDuty(StoreClient store) {
+    private LeaseDuty createLeaseDuty(CoordinationStore store) {
         Address peers = settings.peers();
         RouterEntry self =
                 new RouterEntry(settings.serving().routerId(), peers.host(), peers.port(), 0, settings.cores());
@@ -155,6 +158,7 @@
                 healthChecks,
                 controller::report,
                 controller::share,
+                EventLog::info,
                 metrics);
     }
 
@@ -164,26 +168,44 @@
     }
 
     private DutyThread startFleetWatch(
-            StoreClient store,
+            CoordinationStore store,
             String prefix,
             ControllerLink controller,
             FleetWatchDuty.Listener listener,
-            Runnable onCurrent) {
+            LongConsumer onCurrent) {
         ConfirmedWatchGuard guard = createGuard(prefix, controller, onCurrent);
         FleetWatchDuty duty = new FleetWatchDuty(
-                store, prefix, guard, CHANGE_BATCH_MILLIS, controller.changesOf(prefix), controller::publish, listener);
+                store,
+                prefix,
+                guard,
+                CHANGE_BATCH_MILLIS,
+                controller.changesOf(prefix),
+                controller::publish,
+                listener,
+                reports(prefix));
         return DutyThread.start("watch-" + prefix, duty::runStep);
     }
 
-    private DutyThread startOperatorWatch(StoreClient store, ControllerLink controller, OperatorState state) {
+    private DutyThread startOperatorWatch(CoordinationStore store, ControllerLink controller, OperatorState state) {
         String prefix = dialect.fleet().operatorPrefix();
-        ConfirmedWatchGuard guard = createGuard(prefix, controller, () -> {});
+        ConfirmedWatchGuard guard = createGuard(prefix, controller, this::offerConfirmation);
         OperatorWatchDuty duty = new OperatorWatchDuty(
-                store, prefix, guard, CHANGE_BATCH_MILLIS, operatorUpdates, state, controller::publish);
+                store,
+                prefix,
+                guard,
+                CHANGE_BATCH_MILLIS,
+                operatorUpdates,
+                state,
+                controller::publish,
+                reports(prefix));
         return DutyThread.start("watch-" + prefix, duty::runStep);
     }
 
-    private ConfirmedWatchGuard createGuard(String prefix, ControllerLink controller, Runnable onCurrent) {
+    private WatchReports reports(String prefix) {
+        return new WatchReports(EventLog::info, result -> metrics.controllerUpdate(prefix, result));
+    }
+
+    private ConfirmedWatchGuard createGuard(String prefix, ControllerLink controller, LongConsumer onCurrent) {
         ConfirmedWatchGuard guard = new ConfirmedWatchGuard(
                 prefix, controller::publish, controller::isController, onCurrent, System::nanoTime);
         controller.add(guard);
@@ -224,6 +246,13 @@
         EventLog.info("stopped", "openRequests=" + exchanges.size() + " connections=" + connections.size());
     }
 
+    /** Tells the decisions that the configuration was complete at {@code nanos}, unless their ring is full. */
+    private void offerConfirmation(long nanos) {
+        if (!servingEvents.offer(new ServingEvent.ConfigurationConfirmed(nanos))) {
+            metrics.ringFull(servingEvents.name());
+        }
+    }
+
     /**
      * Adds {@code event} unless the ring is full. The reader of the ring waits for the lock of the controller link, so
      * the link must not wait for the reader; what it reports is repeated, or only lets the controller act sooner.
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/OperatorWatchDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/OperatorWatchDutyTest.java
@@ -1,73 +1,41 @@
 package org.daisyscale.router.internal.serving;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.daisyscale.router.internal.serving.NumberedConfigurations.change;
+import static org.daisyscale.router.internal.serving.NumberedConfigurations.configuration;
+import static org.daisyscale.router.internal.serving.NumberedConfigurations.table;
+import static org.daisyscale.router.internal.serving.NumberedConfigurations.update;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.daisyscale.core.peer.PeerMessage.OperatorUpdate;
 import org.daisyscale.core.peer.PeerMessage.StoreProgress;
 import org.daisyscale.core.platform.CoordinationStore.Changes;
-import org.daisyscale.core.platform.CoordinationStore.Item;
-import org.daisyscale.core.platform.CoordinationStore.ItemChange;
 import org.daisyscale.core.platform.CoordinationStore.Listing;
-import org.daisyscale.core.serving.BackendServer;
-import org.daisyscale.core.serving.RequestLimits;
-import org.daisyscale.core.serving.Route;
-import org.daisyscale.core.serving.Route.WeightedService;
-import org.daisyscale.core.serving.RoutingTable;
-import org.daisyscale.core.serving.RoutingTableChange;
+import org.daisyscale.core.serving.ConfigurationSource;
 import org.daisyscale.core.serving.ServingEvent;
 import org.daisyscale.router.internal.ring.ArrayRing;
 import org.daisyscale.router.internal.ring.Ring;
-import org.daisyscale.router.serving.FleetDecoder;
 import org.junit.jupiter.api.Test;
 
 class OperatorWatchDutyTest {
-    private static final RequestLimits LIMITS = new RequestLimits(16_384, 1_000_000, 3_000, 15_000);
-
     private final ScriptedStore store = new ScriptedStore();
     private final List<ServingEvent> events = new ArrayList<>();
     private final List<OperatorUpdate> published = new ArrayList<>();
-    private final Ring<OperatorUpdate> updates = new ArrayRing<>("updates", 4);
+    private final Ring<ControllerUpdate> updates = new ArrayRing<>("updates", 4);
     private final ConfirmedWatchGuard guard =
-            new ConfirmedWatchGuard("op/", progress -> {}, () -> false, () -> {}, System::nanoTime);
+            new ConfirmedWatchGuard("op/", progress -> {}, () -> false, nanos -> {}, System::nanoTime);
     private final OperatorWatchDuty duty = new OperatorWatchDuty(
             store,
             "op/",
             guard,
             0,
             updates,
-            new OperatorState(new NumbersDecoder(), events::add, new Readiness()),
-            published::add);
-
-    /** Returns the configuration of {@code version}, whose only route has the version as its timeout. */
-    private static RoutingTable table(long version) {
-        Route route = new Route("r", "h", "/r/", true, version, 500, 1, 2, List.of(new WeightedService("s", 1)));
-        return new RoutingTable(version, List.of(route), Map.of(), LIMITS);
-    }
-
-    private static Item configuration(long version, long revision) {
-        return new Item("op/config", String.valueOf(version).getBytes(StandardCharsets.UTF_8), revision);
-    }
-
-    private static ItemChange change(Item item) {
-        return new ItemChange(item.key(), item.revision(), Optional.of(item));
-    }
-
-    private static OperatorUpdate update(long revision, long fromVersion, long version, Set<String> evacuated) {
-        RoutingTableChange change = new RoutingTableChange(
-                Set.copyOf(List.of(fromVersion, version)),
-                version,
-                table(version).routes(),
-                Set.of(),
-                Map.of(),
-                LIMITS);
-        return new OperatorUpdate(revision, change, evacuated);
-    }
+            new OperatorState(new NumberedConfigurations(), events::add, new Readiness()),
+            published::add,
+            new WatchReports((event, detail) -> {}, result -> {}));
 
     private List<Long> publishedVersions() {
         return events.stream()
@@ -94,6 +62,20 @@
         assertThat(store.callCount()).isEqualTo(1);
     }
 
+    @Test
+    void shouldSayWhereEachVersionOfTheConfigurationComesFrom() throws InterruptedException {
+        readVersionOne();
+        guard.confirm(new StoreProgress("op/", 9));
+        updates.put(update(9, 1, 2, Set.of()));
+
+        duty.runStep();
+
+        assertThat(events)
+                .containsExactly(
+                        new ServingEvent.TableChanged(table(1), ConfigurationSource.fromStore(5)),
+                        new ServingEvent.TableChanged(table(2), ConfigurationSource.fromController("r7", 9)));
+    }
+
     @Test
     void shouldApplyAnUpdateOfTheControllerWhileTheStoreIsUnreachable() throws InterruptedException {
         readVersionOne();
@@ -204,43 +186,4 @@
 
         assertThat(events).last().isEqualTo(new ServingEvent.EvacuationsChanged(Set.of()));
     }
-
-    /** Decodes configurations that consist of a version number. */
-    private static final class NumbersDecoder implements FleetDecoder {
-
-        @Override
-        public String operatorPrefix() {
-            return "op/";
-        }
-
-        @Override
-        public String serverPrefix() {
-            return "servers/";
-        }
-
-        @Override
-        public Optional<RoutingTable> table(Item item) {
-            return item.key().equals("op/config")
-                    ? Optional.of(OperatorWatchDutyTest.table(
-                            Long.parseLong(new String(item.value(), StandardCharsets.UTF_8))))
-                    : Optional.empty();
-        }
-
-        @Override
-        public Optional<String> evacuatedDataCentre(String key) {
-            return key.startsWith("op/evacuate/")
-                    ? Optional.of(key.substring("op/evacuate/".length()))
-                    : Optional.empty();
-        }
-
-        @Override
-        public Optional<BackendServer> server(Item item) {
-            return Optional.empty();
-        }
-
-        @Override
-        public String serverId(String key) {
-            return key;
-        }
-    }
 }
