--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/OperatorWatchDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/OperatorWatchDutyTest.java
@@ -45,12 +45,12 @@
             published::add);
 
     /** Returns the configuration of {@code version}, whose only route has the version as its timeout. */
-    private static RoutingTable table(long version) {
+    static RoutingTable table(long version) {
         Route route = new Route("r", "h", "/r/", true, version, 500, 1, 2, List.of(new WeightedService("s", 1)));
         return new RoutingTable(version, List.of(route), Map.of(), LIMITS);
     }
 
-    private static Item configuration(long version, long revision) {
+    static Item configuration(long version, long revision) {
         return new Item("op/config", String.valueOf(version).getBytes(StandardCharsets.UTF_8), revision);
     }
 
@@ -206,7 +206,7 @@
     }
 
     /** Decodes configurations that consist of a version number. */
-    private static final class NumbersDecoder implements FleetDecoder {
+    static final class NumbersDecoder implements FleetDecoder {
 
         @Override
         public String operatorPrefix() {
