--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ChangesWhileTheStoreStallsTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ChangesWhileTheStoreStallsTest.java
@@ -4,23 +4,34 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.LongConsumer;
+import java.util.stream.LongStream;
 import org.daisyscale.core.peer.PeerMessage.OperatorUpdate;
+import org.daisyscale.core.peer.PeerMessage.StoreProgress;
 import org.daisyscale.core.platform.CoordinationStore.Item;
+import org.daisyscale.core.platform.PrefixChange;
+import org.daisyscale.core.serving.RequestLimits;
+import org.daisyscale.core.serving.RoutingTableChange;
 import org.daisyscale.core.serving.ServingEvent;
 import org.daisyscale.router.internal.duty.DutyThread;
 import org.daisyscale.router.internal.ring.ArrayRing;
 import org.daisyscale.router.internal.ring.Ring;
 import org.daisyscale.router.internal.serving.StallingStore.Response;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -36,12 +47,18 @@
 
     private static final long CHANGE_BATCH_MILLIS = 200;
     private static final int OPERATOR_RING_CAPACITY = 16;
+    private static final int CHANGE_RING_CAPACITY = 64;
     /** The revision of version 0; each version of the configuration is one change. */
     private static final long FIRST_REVISION = 100;
 
+    private static final RequestLimits LIMITS = new RequestLimits(16_384, 1_000_000, 3_000, 15_000);
+
     private final HttpLoop loop = HttpLoop.start("test-calls");
     private final Ring<OperatorUpdate> operatorUpdates = new ArrayRing<>("operator-updates", OPERATOR_RING_CAPACITY);
+    private final Ring<PrefixChange> changes = new ArrayRing<>("changes", CHANGE_RING_CAPACITY);
     private final AtomicLong writtenVersion = new AtomicLong(1);
+    private final AtomicInteger listCount = new AtomicInteger();
+    private final CountDownLatch stalled = new CountDownLatch(1);
     private final NavigableMap<Long, Long> inForceNanos = new ConcurrentSkipListMap<>();
     private final List<AutoCloseable> opened = new ArrayList<>();
 
@@ -53,6 +70,13 @@
         loop.close();
     }
 
+    /** The ways in which a call to the store takes long although the router reaches the store and the controller. */
+    private enum Stall {
+        UNANSWERED_WATCH,
+        LISTING_BYTE_BY_BYTE,
+        LISTING_OF_SLOW_PAGES
+    }
+
     /** The ways in which a store that dropped its history answers a watch. */
     private enum DroppedHistory {
         GONE,
@@ -67,6 +91,16 @@
         return OperatorWatchDutyTest.configuration(version, revision(version));
     }
 
+    private static OperatorUpdate update(long firstFromVersion, long version) {
+        Set<Long> fromVersions = new HashSet<>();
+        for (long from = firstFromVersion; from <= version; from++) {
+            fromVersions.add(from);
+        }
+        RoutingTableChange change = new RoutingTableChange(
+                fromVersions, version, OperatorWatchDutyTest.table(version).routes(), Set.of(), Map.of(), LIMITS);
+        return new OperatorUpdate(revision(version), change, Set.of());
+    }
+
     private static ConfirmedWatchGuard guard(String prefix) {
         return new ConfirmedWatchGuard(prefix, progress -> {}, () -> false, () -> {}, System::nanoTime);
     }
@@ -82,6 +116,31 @@
         return StallingStore.whole(200, StallingStore.listingBody(revision(version), false, item(version)), 0);
     }
 
+    /** Answers the first listing at once, then stalls in the given way in the first call that can. */
+    private Response answer(Stall stall, String target) {
+        if (target.startsWith("/watch")) {
+            if (stall == Stall.UNANSWERED_WATCH) {
+                stalled.countDown();
+                return StallingStore.unanswered();
+            }
+            return StallingStore.whole(410, "", 0);
+        }
+        boolean isFirstPage = target.endsWith("=");
+        int number = isFirstPage ? listCount.incrementAndGet() : listCount.get();
+        if (number != 2 || stall == Stall.UNANSWERED_WATCH) {
+            return listing();
+        }
+        stalled.countDown();
+        return stall == Stall.LISTING_BYTE_BY_BYTE ? StallingStore.byteByByte(100, 300) : page(target, isFirstPage);
+    }
+
+    /** Returns one of seven pages, each of which takes half a second. */
+    private Response page(String target, boolean isFirstPage) {
+        int number = isFirstPage ? 0 : Integer.parseInt(target.substring(target.lastIndexOf('-') + 1));
+        Item last = new Item("op/page-" + (number + 1), new byte[] {'1'}, 1);
+        return StallingStore.whole(200, StallingStore.listingBody(revision(1), number < 6, last), 500);
+    }
+
     private OperatorWatchDuty operatorDuty(StoreClient store, ConfirmedWatchGuard guard) {
         Consumer<ServingEvent> events = event -> {
             if (event instanceof ServingEvent.TableChanged changed) {
@@ -96,6 +155,10 @@
         opened.add(0, DutyThread.start("test-watch", step));
     }
 
+    private static LongConsumer confirmations(ConfirmedWatchGuard guard, String prefix) {
+        return version -> guard.confirm(new StoreProgress(prefix, revision(version)));
+    }
+
     /**
      * Writes {@code count} versions and returns the longest time until one of them came into force.
      *
@@ -130,6 +193,98 @@
         return longestNanos / 1_000_000L;
     }
 
+    /** Guards against updates that wait unread while the duty waits for the store. */
+    @Tag("known-red")
+    @ParameterizedTest
+    @EnumSource(Stall.class)
+    void shouldApplyTheUpdatesOfTheControllerInTimeWhileACallToTheStoreStalls(Stall stall) throws Exception {
+        ConfirmedWatchGuard guard = guard("op/");
+        start(operatorDuty(startStore(target -> answer(stall, target)), guard)::runStep);
+        stalled.await();
+        LongConsumer report = version -> operatorUpdates.offer(update(version - 1, version));
+
+        long delayMillis = longestDelayMillis(2, 15, 200, report, confirmations(guard, "op/"));
+
+        assertThat(delayMillis).isLessThanOrEqualTo(APPLY_LIMIT_MILLIS);
+    }
+
+    /** Guards against changes of servers that wait unread while the duty waits for the store. */
+    @Tag("known-red")
+    @ParameterizedTest
+    @EnumSource(Stall.class)
+    void shouldApplyTheServersThatTheControllerReadInTimeWhileACallToTheStoreStalls(Stall stall) throws Exception {
+        ConfirmedWatchGuard guard = guard("servers/");
+        StoreClient store = startStore(target -> answer(stall, target));
+        FleetWatchDuty duty = new FleetWatchDuty(
+                store, "servers/", guard, CHANGE_BATCH_MILLIS, changes, change -> {}, new RevisionListener());
+        start(duty::runStep);
+        stalled.await();
+        LongConsumer report = version -> changes.offer(new PrefixChange(
+                "servers/", revision(version - 1), revision(version), List.of(item(version)), Set.of()));
+
+        long delayMillis = longestDelayMillis(2, 15, 200, report, confirmations(guard, "servers/"));
+
+        assertThat(delayMillis).isLessThanOrEqualTo(APPLY_LIMIT_MILLIS);
+    }
+
+    /** Guards against a failing call to the store between one waiting update and the next. */
+    @Tag("known-red")
+    @Test
+    void shouldApplyAllWaitingUpdatesBeforeItCallsAStoreAgainWhoseListingsStopHalfway() throws Exception {
+        ConfirmedWatchGuard guard = guard("op/");
+        StoreClient store = startStore(target -> {
+            if (target.startsWith("/watch")) {
+                return StallingStore.whole(410, "", 0);
+            }
+            if (listCount.incrementAndGet() == 1) {
+                return listing();
+            }
+            stalled.countDown();
+            return StallingStore.stopped(500);
+        });
+        start(operatorDuty(store, guard)::runStep);
+        stalled.await();
+        LongConsumer report = version -> operatorUpdates.offer(update(1, version));
+
+        long delayMillis = longestDelayMillis(2, 8, 100, report, confirmations(guard, "op/"));
+
+        assertThat(delayMillis).isLessThanOrEqualTo(APPLY_LIMIT_MILLIS);
+    }
+
+    /** Guards against a router that never makes up for an update that its full ring dropped while changes go on. */
+    @Tag("known-red")
+    @Test
+    void shouldReadTheStoreInTimeWhenTheFullRingDroppedUpdatesAndChangesGoOn() throws Exception {
+        ConfirmedWatchGuard guard = guard("op/");
+        OperatorWatchDuty duty = operatorDuty(startStore(target -> listing()), guard);
+        duty.runStep();
+        long lastDropped = 1 + OPERATOR_RING_CAPACITY + 4;
+        LongConsumer report = version -> operatorUpdates.offer(update(version - 1, version));
+        LongStream.rangeClosed(2, lastDropped).forEach(report);
+        confirmations(guard, "op/").accept(lastDropped);
+        start(duty::runStep);
+
+        long delayMillis = longestDelayMillis(lastDropped + 1, 60, 100, report, confirmations(guard, "op/"));
+
+        assertThat(delayMillis).isLessThanOrEqualTo(APPLY_LIMIT_MILLIS);
+    }
+
+    /** Guards against a timeout of silence that leaves no time for a second call to the store. */
+    @Tag("known-red")
+    @Test
+    void shouldReadTheStoreInTimeWhenTheControllerFallsSilentAndOneResponseIsLost() throws Exception {
+        ConfirmedWatchGuard guard = guard("op/");
+        OperatorWatchDuty duty = operatorDuty(
+                startStore(target -> listCount.incrementAndGet() == 2 ? StallingStore.unanswered() : listing()), guard);
+        duty.runStep();
+        confirmations(guard, "op/").accept(1);
+        start(duty::runStep);
+
+        long delayMillis = longestDelayMillis(2, 1, 0, version -> {}, version -> {});
+
+        assertThat(delayMillis).isLessThanOrEqualTo(APPLY_LIMIT_MILLIS);
+    }
+
     /** Guards against a router without a controller that waits for changes which a store without history withholds. */
     @ParameterizedTest
     @EnumSource(DroppedHistory.class)
@@ -151,4 +306,23 @@
 
         assertThat(delayMillis).isLessThanOrEqualTo(APPLY_LIMIT_MILLIS);
     }
+
+    /** Records the revision of each item as that of a version in force. */
+    private final class RevisionListener implements FleetWatchDuty.Listener {
+
+        @Override
+        public void onWritten(Item item, long maxAgeMillis) {
+            inForceNanos.putIfAbsent(item.revision() - FIRST_REVISION, System.nanoTime());
+        }
+
+        @Override
+        public void onRemoved(String key) {
+            // These tests remove nothing.
+        }
+
+        @Override
+        public void onListed() {
+            // The items were reported one by one.
+        }
+    }
 }
