--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/OperatorWatchDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/OperatorWatchDutyTest.java
@@ -3,11 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import org.daisyscale.core.peer.PeerMessage.OperatorUpdate;
 import org.daisyscale.core.peer.PeerMessage.StoreProgress;
 import org.daisyscale.core.platform.CoordinationStore.Changes;
@@ -24,6 +27,7 @@
 import org.daisyscale.router.internal.ring.ArrayRing;
 import org.daisyscale.router.internal.ring.Ring;
 import org.daisyscale.router.serving.FleetDecoder;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class OperatorWatchDutyTest {
@@ -205,6 +209,34 @@
         assertThat(events).last().isEqualTo(new ServingEvent.EvacuationsChanged(Set.of()));
     }
 
+    /** Guards against a long watch, during which the updates of the controller wait unread if its response is lost. */
+    @Tag("known-red")
+    @Test
+    void shouldStartNoLongWatchWhenTheControllerIsHeardJustBeforeIt() throws InterruptedException {
+        StoreProgress progress = new StoreProgress("op/", 5);
+        AtomicLong nowNanos = new AtomicLong();
+        AtomicReference<Runnable> duringCheck = new AtomicReference<>(() -> {});
+        ConfirmedWatchGuard hearing = new ConfirmedWatchGuard("op/", unused -> {}, () -> false, () -> {}, () -> {
+            long readNanos = nowNanos.get();
+            duringCheck.getAndSet(() -> {}).run();
+            return readNanos;
+        });
+        OperatorState state = new OperatorState(new NumbersDecoder(), events::add, new Readiness());
+        OperatorWatchDuty hearingDuty = new OperatorWatchDuty(store, "op/", hearing, 0, updates, state, published::add);
+        hearing.confirm(progress);
+        store.enqueueListing(new Listing(List.of(configuration(1, 5)), 5));
+        hearingDuty.runStep();
+        nowNanos.addAndGet(Duration.ofMillis(ConfirmedWatchGuard.CONFIRMATION_TIMEOUT_MILLIS)
+                .toNanos());
+        duringCheck.set(() -> hearing.confirm(progress));
+        store.enqueueWatchResult(Optional.of(new Changes(List.of(), 5)));
+
+        hearingDuty.runStep();
+
+        assertThat(store.lastWait())
+                .isLessThanOrEqualTo(Duration.ofMillis(ConfirmedWatchGuard.UNCONFIRMED_WAIT_MILLIS));
+    }
+
     /** Decodes configurations that consist of a version number. */
     static final class NumbersDecoder implements FleetDecoder {
 
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ScriptedStore.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ScriptedStore.java
@@ -16,6 +16,7 @@
     private final Deque<Listing> listings = new ArrayDeque<>();
     private final Deque<Optional<Changes>> watches = new ArrayDeque<>();
     private int callCount;
+    private Duration lastWait = Duration.ZERO;
 
     /** Makes the next unanswered listing return {@code listing}. */
     void enqueueListing(Listing listing) {
@@ -32,6 +33,11 @@
         return callCount;
     }
 
+    /** Returns how long the last watch was to wait. */
+    Duration lastWait() {
+        return lastWait;
+    }
+
     private <T> T next(Deque<T> answers) {
         callCount++;
         if (answers.isEmpty()) {
@@ -52,6 +58,7 @@
 
     @Override
     public Optional<Changes> watch(String prefix, long afterRevision, Duration wait, BooleanSupplier isOverdue) {
+        lastWait = wait;
         return next(watches);
     }
 
