--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/OperatorWatchDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/OperatorWatchDutyTest.java
@@ -237,6 +237,33 @@
                 .isLessThanOrEqualTo(Duration.ofMillis(ConfirmedWatchGuard.UNCONFIRMED_WAIT_MILLIS));
     }
 
+    /** Guards against an evacuation that never ends at a router to which the controller sent the end. */
+    @Tag("known-red")
+    @Test
+    void shouldEndAnEvacuationWhoseEndTheControllerFoundInAListing() throws InterruptedException {
+        Item evacuation = new Item("op/evacuate/z1", new byte[0], 7);
+        store.enqueueListing(new Listing(List.of(configuration(1, 5), evacuation), 7));
+        store.enqueueWatchResult(Optional.empty());
+        store.enqueueListing(new Listing(List.of(configuration(1, 5)), 8));
+        ScriptedStore followerStore = new ScriptedStore();
+        followerStore.enqueueListing(new Listing(List.of(configuration(1, 5), evacuation), 7));
+        List<ServingEvent> followerEvents = new ArrayList<>();
+        OperatorState followerState = new OperatorState(new NumbersDecoder(), followerEvents::add, new Readiness());
+        OperatorWatchDuty follower =
+                new OperatorWatchDuty(followerStore, "op/", guard, 0, updates, followerState, update -> {});
+        follower.runStep();
+        duty.runStep();
+        duty.runStep();
+
+        duty.runStep();
+        updates.put(published.get(published.size() - 1));
+        guard.confirm(
+                new StoreProgress("op/", published.get(published.size() - 1).revision()));
+        follower.runStep();
+
+        assertThat(followerEvents).last().isEqualTo(new ServingEvent.EvacuationsChanged(Set.of()));
+    }
+
     /** Decodes configurations that consist of a version number. */
     static final class NumbersDecoder implements FleetDecoder {
 
