--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FleetWatchDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FleetWatchDutyTest.java
@@ -11,6 +11,7 @@
 import org.daisyscale.core.platform.PrefixChange;
 import org.daisyscale.router.internal.ring.ArrayRing;
 import org.daisyscale.router.internal.ring.Ring;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class FleetWatchDutyTest {
@@ -175,6 +176,20 @@
         assertThat(store.callCount()).isEqualTo(1);
     }
 
+    /** Guards against a router that drops what the controller sends until it reaches the store again. */
+    @Tag("known-red")
+    @Test
+    void shouldApplyAChangeThatTheControllerReadWhileTheStoreIsUnreachable() throws InterruptedException {
+        listOneServer();
+        duty.runStep();
+        guard.confirm(new StoreProgress("servers/", 9));
+        updates.put(new PrefixChange("servers/", 4, 9, List.of(item("servers/b", 9)), Set.of("servers/a")));
+
+        duty.runStep();
+
+        assertThat(notifications).contains("written servers/b@9", "removed servers/a");
+    }
+
     @Test
     void shouldListAgainWhenAChangeBeforeTheOneOfTheControllerIsMissing() throws InterruptedException {
         listOneServer();
