--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/OperatorWatchDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/OperatorWatchDutyTest.java
@@ -6,21 +6,28 @@
 import static org.daisyscale.router.internal.serving.NumberedConfigurations.table;
 import static org.daisyscale.router.internal.serving.NumberedConfigurations.update;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import org.daisyscale.core.peer.PeerMessage.OperatorUpdate;
 import org.daisyscale.core.peer.PeerMessage.StoreProgress;
 import org.daisyscale.core.platform.CoordinationStore.Changes;
+import org.daisyscale.core.platform.CoordinationStore.Item;
 import org.daisyscale.core.platform.CoordinationStore.Listing;
 import org.daisyscale.core.serving.ConfigurationSource;
 import org.daisyscale.core.serving.ServingEvent;
 import org.daisyscale.router.internal.ring.ArrayRing;
 import org.daisyscale.router.internal.ring.Ring;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class OperatorWatchDutyTest {
+    private static final WatchReports NO_REPORTS = new WatchReports((event, detail) -> {}, result -> {});
+
     private final ScriptedStore store = new ScriptedStore();
     private final List<ServingEvent> events = new ArrayList<>();
     private final List<OperatorUpdate> published = new ArrayList<>();
@@ -35,7 +42,7 @@
             updates,
             new OperatorState(new NumberedConfigurations(), events::add, new Readiness()),
             published::add,
-            new WatchReports((event, detail) -> {}, result -> {}));
+            NO_REPORTS);
 
     private List<Long> publishedVersions() {
         return events.stream()
@@ -186,4 +193,61 @@
 
         assertThat(events).last().isEqualTo(new ServingEvent.EvacuationsChanged(Set.of()));
     }
+
+    /** Guards against a long watch, during which the updates of the controller wait unread if its response is lost. */
+    @Tag("known-red")
+    @Test
+    void shouldStartNoLongWatchWhenTheControllerIsHeardJustBeforeIt() throws InterruptedException {
+        StoreProgress progress = new StoreProgress("op/", 5);
+        AtomicLong nowNanos = new AtomicLong();
+        AtomicReference<Runnable> duringCheck = new AtomicReference<>(() -> {});
+        ConfirmedWatchGuard hearing = new ConfirmedWatchGuard("op/", unused -> {}, () -> false, nanos -> {}, () -> {
+            long readNanos = nowNanos.get();
+            duringCheck.getAndSet(() -> {}).run();
+            return readNanos;
+        });
+        OperatorState state = new OperatorState(new NumberedConfigurations(), events::add, new Readiness());
+        OperatorWatchDuty hearingDuty =
+                new OperatorWatchDuty(store, "op/", hearing, 0, updates, state, published::add, NO_REPORTS);
+        hearing.confirm(progress);
+        store.enqueueListing(new Listing(List.of(configuration(1, 5)), 5));
+        hearingDuty.runStep();
+        nowNanos.addAndGet(Duration.ofMillis(ConfirmedWatchGuard.CONFIRMATION_TIMEOUT_MILLIS)
+                .toNanos());
+        duringCheck.set(() -> hearing.confirm(progress));
+        store.enqueueWatchResult(Optional.of(new Changes(List.of(), 5)));
+
+        hearingDuty.runStep();
+
+        assertThat(store.lastWait())
+                .isLessThanOrEqualTo(Duration.ofMillis(ConfirmedWatchGuard.UNCONFIRMED_WAIT_MILLIS));
+    }
+
+    /** Guards against an evacuation that never ends at a router to which the controller sent the end. */
+    @Tag("known-red")
+    @Test
+    void shouldEndAnEvacuationWhoseEndTheControllerFoundInAListing() throws InterruptedException {
+        Item evacuation = new Item("op/evacuate/z1", new byte[0], 7);
+        store.enqueueListing(new Listing(List.of(configuration(1, 5), evacuation), 7));
+        store.enqueueWatchResult(Optional.empty());
+        store.enqueueListing(new Listing(List.of(configuration(1, 5)), 8));
+        ScriptedStore followerStore = new ScriptedStore();
+        followerStore.enqueueListing(new Listing(List.of(configuration(1, 5), evacuation), 7));
+        List<ServingEvent> followerEvents = new ArrayList<>();
+        OperatorState followerState =
+                new OperatorState(new NumberedConfigurations(), followerEvents::add, new Readiness());
+        OperatorWatchDuty follower =
+                new OperatorWatchDuty(followerStore, "op/", guard, 0, updates, followerState, update -> {}, NO_REPORTS);
+        follower.runStep();
+        duty.runStep();
+        duty.runStep();
+
+        duty.runStep();
+        updates.put(new ControllerUpdate("r7", published.get(published.size() - 1)));
+        guard.confirm(
+                new StoreProgress("op/", published.get(published.size() - 1).revision()));
+        follower.runStep();
+
+        assertThat(followerEvents).last().isEqualTo(new ServingEvent.EvacuationsChanged(Set.of()));
+    }
 }
