Tests: what an outbox keeps of changes and progress

A change under a prefix that does not follow the pending one replaces it; joined, they would hide the gap from the router. Progress takes the place of older progress, which may lie before a change that was queued since, so progress can be sent before the change that leads to it; the change is sent all the same. Both tests pass on the untouched code.

--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/peer/PeerOutboxTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/peer/PeerOutboxTest.java
@@ -70,6 +70,34 @@
                         new PrefixChange("servers/", 3, 7, List.of(), Set.of("servers/a", "servers/b"))));
     }
 
+    /** Guards against a gap between two changes that no router can notice because they became one. */
+    @Test
+    void shouldNotJoinChangesUnderAPrefixThatDoNotFollowEachOther() {
+        PeerOutbox outbox = openOutbox();
+        CoordinationStore.Item item = new CoordinationStore.Item("servers/a", new byte[0], 5);
+        PeerMessage second =
+                new PeerMessage.PrefixChanged(new PrefixChange("servers/", 6, 7, List.of(), Set.of("servers/b")));
+
+        outbox.offer(new PeerMessage.PrefixChanged(new PrefixChange("servers/", 3, 5, List.of(item), Set.of())));
+        outbox.offer(second);
+
+        assertThat(pollAll(outbox)).containsExactly(second);
+    }
+
+    /** Guards against progress that replaces older progress and keeps a change behind it from being sent. */
+    @Test
+    void shouldSendAChangeAlthoughItsProgressTakesThePlaceOfOlderProgressBeforeIt() {
+        PeerOutbox outbox = openOutbox();
+        PeerMessage change =
+                new PeerMessage.PrefixChanged(new PrefixChange("servers/", 5, 7, List.of(), Set.of("servers/a")));
+
+        outbox.offer(new PeerMessage.StoreProgress("servers/", 5));
+        outbox.offer(change);
+        outbox.offer(new PeerMessage.StoreProgress("servers/", 7));
+
+        assertThat(pollAll(outbox)).containsExactlyInAnyOrder(change, new PeerMessage.StoreProgress("servers/", 7));
+    }
+
     @Test
     void shouldRejectAPermitMessageOverTheLimitAndKeepTheOthers() {
         PeerOutbox outbox = openOutbox();
