--- /dev/null
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FollowingRouter.java
@@ -0,0 +1,245 @@
+package org.daisyscale.router.internal.serving;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.IntStream;
+import org.daisyscale.core.peer.PeerMessage.OperatorUpdate;
+import org.daisyscale.core.platform.CoordinationStore;
+import org.daisyscale.core.platform.CoordinationStore.Item;
+import org.daisyscale.core.platform.PrefixChange;
+import org.daisyscale.core.serving.BackendServer;
+import org.daisyscale.core.serving.RequestLimits;
+import org.daisyscale.core.serving.Route;
+import org.daisyscale.core.serving.Route.WeightedService;
+import org.daisyscale.core.serving.RoutingTable;
+import org.daisyscale.core.serving.ServingEvent;
+import org.daisyscale.router.internal.duty.DutyThread;
+import org.daisyscale.router.internal.ring.ArrayRing;
+import org.daisyscale.router.internal.ring.Ring;
+import org.daisyscale.router.serving.FleetDecoder;
+import org.daisyscale.router.serving.ServingRouterSettings.Address;
+
+/**
+ * A router that follows servers and operators in a store and is linked with other routers over the loopback interface.
+ * Its duties run on their threads once they are started; until then the test runs their steps. What it knows may be
+ * read by any thread.
+ */
+final class FollowingRouter implements AutoCloseable {
+    static final String SERVERS = "servers/";
+    static final String OPERATORS = "op/";
+
+    private static final int UPDATE_RING_CAPACITY = 16;
+    private static final int ROUTE_COUNT = 20;
+    private static final RequestLimits LIMITS = new RequestLimits(16_384, 1_000_000, 3_000, 15_000);
+
+    private final RouterEntry entry;
+    private final Ring<OperatorUpdate> operatorUpdates = new ArrayRing<>("operator-updates", UPDATE_RING_CAPACITY);
+    private final ControllerLink link;
+    private final ConfirmedWatchGuard serverGuard;
+    private final ConfirmedWatchGuard operatorGuard;
+    private final FleetWatchDuty servers;
+    private final OperatorWatchDuty operators;
+    private final Map<String, Long> revisionByServer = new ConcurrentHashMap<>();
+    private final List<DutyThread> threads = new ArrayList<>();
+    private volatile long version;
+    private volatile Set<String> evacuatedDataCentres = Set.of();
+
+    /** Creates a router that has read nothing and knows no other router. */
+    FollowingRouter(String routerId, CoordinationStore store, long batchMillis) throws IOException {
+        entry = new RouterEntry(routerId, "127.0.0.1", freePort(), 7, 1);
+        Address address = new Address(entry.host(), entry.port());
+        link = new ControllerLink(routerId, address, event -> {}, event -> {}, operatorUpdates);
+        serverGuard = createGuard(SERVERS);
+        operatorGuard = createGuard(OPERATORS);
+        servers = new FleetWatchDuty(
+                store,
+                SERVERS,
+                serverGuard,
+                batchMillis,
+                link.changesOf(SERVERS),
+                link::publish,
+                new RevisionListener(revisionByServer));
+        operators = new OperatorWatchDuty(
+                store,
+                OPERATORS,
+                operatorGuard,
+                batchMillis,
+                operatorUpdates,
+                new OperatorState(new RoutesDecoder(), this::record, new Readiness()),
+                link::publish);
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private ConfirmedWatchGuard createGuard(String prefix) {
+        ConfirmedWatchGuard guard =
+                new ConfirmedWatchGuard(prefix, link::publish, link::isController, () -> {}, System::nanoTime);
+        link.add(guard);
+        return guard;
+    }
+
+    private void record(ServingEvent event) {
+        if (event instanceof ServingEvent.TableChanged changed) {
+            version = changed.table().version();
+        } else if (event instanceof ServingEvent.EvacuationsChanged changed) {
+            evacuatedDataCentres = changed.dataCentres();
+        }
+    }
+
+    /** Makes all {@code routers} known to each other, lets them connect, and names {@code controller} to them. */
+    static void connect(FollowingRouter controller, FollowingRouter... routers) {
+        for (FollowingRouter router : routers) {
+            for (FollowingRouter other : routers) {
+                router.link.addRouter(other.entry);
+            }
+            router.link.setController(controller.entry);
+            router.link.startNetwork("a secret of the test");
+        }
+    }
+
+    /** Returns the value of a configuration whose first {@code changedRoutes} routes differ from those of any other. */
+    static String configuration(long version, int changedRoutes) {
+        return version + " " + changedRoutes;
+    }
+
+    ControllerLink link() {
+        return link;
+    }
+
+    RouterEntry entry() {
+        return entry;
+    }
+
+    Ring<PrefixChange> serverChanges() {
+        return link.changesOf(SERVERS);
+    }
+
+    Ring<OperatorUpdate> operatorUpdates() {
+        return operatorUpdates;
+    }
+
+    /** Runs a step of the duty that follows the servers; its thread must not be started. */
+    void readServers() throws InterruptedException {
+        servers.runStep();
+    }
+
+    /** Runs a step of the duty that follows the operators; its thread must not be started. */
+    void readOperators() throws InterruptedException {
+        operators.runStep();
+    }
+
+    void startServers() {
+        threads.add(DutyThread.start("servers-" + entry.routerId(), servers::runStep));
+    }
+
+    void startOperators() {
+        threads.add(DutyThread.start("operators-" + entry.routerId(), operators::runStep));
+    }
+
+    boolean areServersConfirmed() {
+        return serverGuard.isConfirmed();
+    }
+
+    boolean areOperatorsConfirmed() {
+        return operatorGuard.isConfirmed();
+    }
+
+    /** Returns the revision of each known server. */
+    Map<String, Long> revisionByServer() {
+        return revisionByServer;
+    }
+
+    /** Returns the version of the known configuration; 0 if there is none. */
+    long version() {
+        return version;
+    }
+
+    Set<String> evacuatedDataCentres() {
+        return evacuatedDataCentres;
+    }
+
+    @Override
+    public void close() {
+        threads.forEach(DutyThread::close);
+        link.close();
+    }
+
+    /** Records the newest revision of each server. */
+    private record RevisionListener(Map<String, Long> revisionByServer) implements FleetWatchDuty.Listener {
+
+        @Override
+        public void onWritten(Item item, long maxAgeMillis) {
+            revisionByServer.put(item.key(), item.revision());
+        }
+
+        @Override
+        public void onRemoved(String key) {
+            revisionByServer.remove(key);
+        }
+
+        @Override
+        public void onListed() {
+            // The tests ask for single servers.
+        }
+    }
+
+    /** Decodes the values of {@link #configuration}. */
+    private static final class RoutesDecoder implements FleetDecoder {
+        private static final String EVACUATIONS = OPERATORS + "evacuate/";
+
+        @Override
+        public String operatorPrefix() {
+            return OPERATORS;
+        }
+
+        @Override
+        public String serverPrefix() {
+            return SERVERS;
+        }
+
+        @Override
+        public Optional<RoutingTable> table(Item item) {
+            if (!item.key().equals(OPERATORS + "config")) {
+                return Optional.empty();
+            }
+            String[] parts = new String(item.value(), StandardCharsets.UTF_8).split(" ", -1);
+            long version = Long.parseLong(parts[0]);
+            int changedRoutes = Integer.parseInt(parts[1]);
+            List<Route> routes = IntStream.range(0, ROUTE_COUNT)
+                    .mapToObj(index -> route(index, index < changedRoutes ? version : 1))
+                    .toList();
+            return Optional.of(new RoutingTable(version, routes, Map.of(), LIMITS));
+        }
+
+        private static Route route(int index, long timeoutMillis) {
+            List<WeightedService> services = List.of(new WeightedService("s", 1));
+            return new Route("r" + index, "h", "/r" + index + "/", true, timeoutMillis, 500, 1, 2, services);
+        }
+
+        @Override
+        public Optional<String> evacuatedDataCentre(String key) {
+            return key.startsWith(EVACUATIONS) ? Optional.of(key.substring(EVACUATIONS.length())) : Optional.empty();
+        }
+
+        @Override
+        public Optional<BackendServer> server(Item item) {
+            return Optional.empty();
+        }
+
+        @Override
+        public String serverId(String key) {
+            return key;
+        }
+    }
+}
--- /dev/null
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/SharedStore.java
@@ -0,0 +1,125 @@
+package org.daisyscale.router.internal.serving;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+import org.daisyscale.core.platform.CoordinationStore;
+import org.daisyscale.router.serving.StoreException;
+
+/** An in-memory store that several routers read at the same time. Writes are made by the test. Thread-safe. */
+final class SharedStore implements CoordinationStore {
+    private static final long CHECK_MILLIS = 10;
+
+    private final Map<String, Item> itemByKey = new TreeMap<>();
+    private final List<ItemChange> history = new ArrayList<>();
+    private final long maxWaitMillis;
+    private long revision;
+    private boolean isReachable = true;
+
+    /** Creates a store that ends each watch after {@code maxWaitMillis} at the latest, as a store may. */
+    SharedStore(long maxWaitMillis) {
+        this.maxWaitMillis = maxWaitMillis;
+    }
+
+    /** Writes {@code key} and returns the revision of the change. */
+    synchronized long put(String key, String value) {
+        Item item = new Item(key, value.getBytes(StandardCharsets.UTF_8), ++revision);
+        itemByKey.put(key, item);
+        record(new ItemChange(key, revision, Optional.of(item)));
+        return revision;
+    }
+
+    synchronized void remove(String key) {
+        itemByKey.remove(key);
+        record(new ItemChange(key, ++revision, Optional.empty()));
+    }
+
+    /** Makes all calls fail, also those that wait, until it is set to true again. */
+    synchronized void setReachable(boolean newIsReachable) {
+        isReachable = newIsReachable;
+        notifyAll();
+    }
+
+    private void record(ItemChange change) {
+        history.add(change);
+        notifyAll();
+    }
+
+    private void checkReachable() {
+        if (!isReachable) {
+            throw new StoreException(StoreException.Code.UNREACHABLE, "the store is unreachable", null);
+        }
+    }
+
+    @Override
+    public synchronized Optional<Item> get(String key) {
+        checkReachable();
+        return Optional.ofNullable(itemByKey.get(key));
+    }
+
+    @Override
+    public synchronized Listing list(String prefix) {
+        checkReachable();
+        List<Item> items = itemByKey.values().stream()
+                .filter(item -> item.key().startsWith(prefix))
+                .toList();
+        return new Listing(items, revision);
+    }
+
+    @Override
+    public synchronized Optional<Changes> watch(
+            String prefix, long afterRevision, Duration wait, BooleanSupplier isOverdue) {
+        long endNanos = System.nanoTime() + Math.min(wait.toMillis(), maxWaitMillis) * 1_000_000L;
+        List<ItemChange> changes = changesAfter(prefix, afterRevision);
+        while (changes.isEmpty() && System.nanoTime() - endNanos < 0) {
+            checkReachable();
+            if (isOverdue.getAsBoolean()) {
+                return Optional.empty();
+            }
+            awaitChange();
+            changes = changesAfter(prefix, afterRevision);
+        }
+        checkReachable();
+        return Optional.of(new Changes(changes, revision));
+    }
+
+    private List<ItemChange> changesAfter(String prefix, long afterRevision) {
+        return history.stream()
+                .filter(change -> change.key().startsWith(prefix) && change.revision() > afterRevision)
+                .toList();
+    }
+
+    private void awaitChange() {
+        try {
+            wait(CHECK_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new StoreException(StoreException.Code.UNREACHABLE, "interrupted", e);
+        }
+    }
+
+    @Override
+    public WriteResult write(Change change) {
+        throw new UnsupportedOperationException("the test writes");
+    }
+
+    @Override
+    public long grantLease(Duration timeToLive) {
+        throw new UnsupportedOperationException("this store has no leases");
+    }
+
+    @Override
+    public boolean renewLease(long leaseId) {
+        throw new UnsupportedOperationException("this store has no leases");
+    }
+
+    @Override
+    public void endLease(long leaseId) {
+        throw new UnsupportedOperationException("this store has no leases");
+    }
+}
--- /dev/null
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ToldConfigurationsTest.java
@@ -0,0 +1,233 @@
+package org.daisyscale.router.internal.serving;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.daisyscale.router.internal.serving.FollowingRouters.await;
+import static org.daisyscale.router.internal.serving.FollowingRouters.holdsInTime;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+import org.daisyscale.core.peer.PeerMessage.OperatorUpdate;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * What operators wrote and the controller read must be known within 2,000 ms at each connected router, also when the
+ * message about it was lost and while other versions follow.
+ */
+class ToldConfigurationsTest {
+    private static final String CONFIGURATION = "op/config";
+    private static final String EVACUATION = "op/evacuate/dc1";
+
+    private final SharedStore store = new SharedStore(FollowingRouters.SHORT_WATCH_MILLIS);
+    private final FollowingRouters routers = new FollowingRouters();
+
+    @AfterEach
+    void closeRouters() {
+        routers.close();
+    }
+
+    /** Returns a router that has read the store, and reads it no more until a step or its thread runs. */
+    private FollowingRouter openListed(String routerId) throws IOException, InterruptedException {
+        FollowingRouter router = routers.open(routerId, store);
+        router.readOperators();
+        return router;
+    }
+
+    /** Returns a router that has read version 1, and later knows only what it is told. */
+    private FollowingRouter openWithoutStore(String routerId) throws IOException, InterruptedException {
+        SharedStore ownStore = new SharedStore(FollowingRouters.SHORT_WATCH_MILLIS);
+        ownStore.put(CONFIGURATION, FollowingRouter.configuration(1, 1));
+        FollowingRouter router = routers.open(routerId, ownStore);
+        router.readOperators();
+        ownStore.setReachable(false);
+        return router;
+    }
+
+    private long writeVersion(long version, int changedRoutes) {
+        return store.put(CONFIGURATION, FollowingRouter.configuration(version, changedRoutes));
+    }
+
+    /** Writes the version after the one that {@code controller} knows, and lets it read that. */
+    private void passToNextVersion(FollowingRouter controller, int changedRoutes) throws InterruptedException {
+        writeVersion(controller.version() + 1, changedRoutes);
+        controller.readOperators();
+    }
+
+    private void passToNextVersionAndPause(FollowingRouter controller, int changedRoutes) throws InterruptedException {
+        passToNextVersion(controller, changedRoutes);
+        Thread.sleep(FollowingRouters.CHANGE_INTERVAL_MILLIS);
+    }
+
+    /** Lets {@code listener} follow what {@code controller} tells from now on. */
+    private static void follow(FollowingRouter listener, FollowingRouter controller) throws InterruptedException {
+        await(listener::areOperatorsConfirmed, controller::readOperators);
+        listener.startOperators();
+    }
+
+    private static Optional<OperatorUpdate> nextUpdate(FollowingRouter listener) throws InterruptedException {
+        return listener.operatorUpdates().poll(Duration.ofMillis(FollowingRouters.LIMIT_MILLIS));
+    }
+
+    /** Guards against an update that is never told because it was read before the reader was the controller. */
+    @Test
+    void shouldTellAVersionThatItReadBeforeItKnewItselfAsController() throws Exception {
+        writeVersion(1, 1);
+        FollowingRouter controller = openListed("r1");
+        FollowingRouter listener = openWithoutStore("r2");
+        passToNextVersion(controller, 1);
+
+        FollowingRouter.connect(controller, controller, listener);
+        await(listener.link()::isReceivingKeyMaps);
+        controller.readOperators();
+        listener.startOperators();
+
+        assertThat(holdsInTime(() -> listener.version() == 2)).isTrue();
+    }
+
+    /** Guards against an update that is taken for one that was sent although control was taken anew since. */
+    @Test
+    void shouldTellAnEqualUpdateAgainAfterItTookTheControlAnew() throws Exception {
+        writeVersion(1, 1);
+        FollowingRouter controller = openListed("r1");
+        FollowingRouter listener = openWithoutStore("r2");
+        FollowingRouter.connect(controller, controller, listener);
+        await(listener::areOperatorsConfirmed, controller::readOperators);
+        OperatorUpdate told = nextUpdate(listener).orElseThrow();
+
+        controller.link().setController(controller.entry());
+        controller.readOperators();
+
+        assertThat(nextUpdate(listener)).contains(told);
+    }
+
+    /** Guards against a router that connects after an update and waits for the next one. */
+    @Test
+    void shouldTellTheNewestVersionToARouterThatConnectsAfterIt() throws Exception {
+        writeVersion(1, 1);
+        FollowingRouter controller = openListed("r1");
+        FollowingRouter listener = openWithoutStore("r2");
+        FollowingRouter.connect(controller, controller, listener);
+        follow(listener, controller);
+        FollowingRouters.disconnect(controller, listener);
+        passToNextVersion(controller, 1);
+        passToNextVersion(controller, 1);
+
+        FollowingRouters.reconnect(controller, listener);
+
+        assertThat(holdsInTime(() -> listener.version() == 3)).isTrue();
+    }
+
+    /** Guards against a router that never catches up with updates that found the ring of its duty full. */
+    @Test
+    void shouldKnowAVersionThatFoundTheRingFull() throws Exception {
+        writeVersion(1, 1);
+        FollowingRouter controller = openListed("r1");
+        FollowingRouter listener = openWithoutStore("r2");
+        FollowingRouter.connect(controller, controller, listener);
+        await(listener::areOperatorsConfirmed, controller::readOperators);
+        await(
+                () -> listener.operatorUpdates().size()
+                        == listener.operatorUpdates().capacity(),
+                () -> {
+                    passToNextVersion(controller, 1);
+                    Thread.sleep(1);
+                });
+        passToNextVersion(controller, 1);
+        Thread.sleep(FollowingRouters.DELIVERY_MILLIS);
+        long droppedVersion = controller.version();
+
+        listener.startOperators();
+
+        BooleanSupplier isKnown = () -> listener.version() >= droppedVersion;
+        assertThat(holdsInTime(isKnown, () -> passToNextVersionAndPause(controller, 1)))
+                .isTrue();
+    }
+
+    /** Guards against an update that is ignored by a router that takes itself for the controller and not sent again. */
+    @Test
+    void shouldKnowAVersionThatWasToldWhileItTookItselfForTheController() throws Exception {
+        writeVersion(1, 1);
+        FollowingRouter former = openListed("r1");
+        FollowingRouter controller = openListed("r2");
+        FollowingRouter.connect(former, former, controller);
+        await(controller.link()::isReceivingKeyMaps);
+        controller.link().setController(controller.entry());
+        passToNextVersion(controller, 1);
+        Thread.sleep(FollowingRouters.DELIVERY_MILLIS);
+
+        former.link().setController(controller.entry());
+        follow(former, controller);
+
+        assertThat(holdsInTime(() -> former.version() == 2, controller::readOperators))
+                .isTrue();
+    }
+
+    /** Guards against a change that is made when the control passes on and that nobody reads for too long. */
+    @Test
+    void shouldKnowAChangeThatIsMadeWhenTheControlPassesOnBetweenTwoRouters() throws Exception {
+        SharedStore waitingStore = new SharedStore(FollowingRouters.LONG_WATCH_MILLIS);
+        waitingStore.put(CONFIGURATION, FollowingRouter.configuration(1, 1));
+        waitingStore.put("servers/a", "up");
+        FollowingRouter former = routers.open("r1", waitingStore, FollowingRouters.BATCH_MILLIS);
+        FollowingRouter next = routers.open("r2", waitingStore, FollowingRouters.BATCH_MILLIS);
+        FollowingRouter listener = routers.open("r3", waitingStore, FollowingRouters.BATCH_MILLIS);
+        FollowingRouter.connect(former, former, next, listener);
+        routers.all().forEach(FollowingRouter::startServers);
+        routers.all().forEach(FollowingRouter::startOperators);
+        for (FollowingRouter router : List.of(next, listener)) {
+            await(() -> router.areServersConfirmed() && router.areOperatorsConfirmed() && router.version() == 1);
+        }
+        Thread.sleep(ConfirmedWatchGuard.UNCONFIRMED_WAIT_MILLIS + FollowingRouters.BATCH_MILLIS);
+
+        routers.all().forEach(router -> router.link().setController(next.entry()));
+        waitingStore.put(CONFIGURATION, FollowingRouter.configuration(2, 1));
+        long revision = waitingStore.put("servers/a", "draining");
+
+        BooleanSupplier isKnown = () -> routers.all().stream()
+                .allMatch(router ->
+                        router.version() == 2 && router.revisionByServer().getOrDefault("servers/a", 0L) == revision);
+        assertThat(holdsInTime(isKnown)).isTrue();
+    }
+
+    /** Guards against a new controller that tells its progress without what operators wrote. */
+    @Test
+    void shouldTellWhatOperatorsWroteAfterItTookTheControlWhileVersionsFollowEachOther() throws Exception {
+        SharedStore waitingStore = new SharedStore(FollowingRouters.LONG_WATCH_MILLIS);
+        waitingStore.put(CONFIGURATION, FollowingRouter.configuration(1, 1));
+        FollowingRouter controller = routers.open("r1", waitingStore, FollowingRouters.BATCH_MILLIS);
+        FollowingRouter listener = routers.open("r2", waitingStore, FollowingRouters.BATCH_MILLIS);
+        controller.startOperators();
+        await(() -> controller.version() == 1);
+        FollowingRouter.connect(controller, controller, listener);
+        await(listener::areOperatorsConfirmed);
+
+        NavigableMap<Long, Long> writtenNanosByRevision = new TreeMap<>();
+        for (long version = 2; version <= 20; version++) {
+            long revision = waitingStore.put(CONFIGURATION, FollowingRouter.configuration(version, 1));
+            writtenNanosByRevision.put(revision, System.nanoTime());
+            Thread.sleep(FollowingRouters.CHANGE_INTERVAL_MILLIS);
+
+            writtenNanosByRevision.headMap(newestTold(listener), true).clear();
+            assertThat(writtenNanosByRevision.values())
+                    .as("times of the versions that were not told within 2,000 ms")
+                    .allMatch(writtenNanos ->
+                            System.nanoTime() - writtenNanos < FollowingRouters.LIMIT_MILLIS * 1_000_000L);
+        }
+    }
+
+    /** Returns the revision of the newest update that waits for {@code listener}, and removes all; 0 without one. */
+    private static long newestTold(FollowingRouter listener) throws InterruptedException {
+        long newest = 0;
+        Optional<OperatorUpdate> update = listener.operatorUpdates().poll(Duration.ZERO);
+        while (update.isPresent()) {
+            newest = update.get().revision();
+            update = listener.operatorUpdates().poll(Duration.ZERO);
+        }
+        return newest;
+    }
+}
