--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ToldConfigurationsTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ToldConfigurationsTest.java
@@ -13,6 +13,7 @@
 import java.util.function.BooleanSupplier;
 import org.daisyscale.core.peer.PeerMessage.OperatorUpdate;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -122,6 +123,28 @@
         assertThat(holdsInTime(() -> listener.version() == 3)).isTrue();
     }
 
+    /** Guards against a router that keeps an old version because the newest update lacks the changes before. */
+    @Test
+    @Tag("known-red")
+    void shouldKnowAVersionOfWhichTheNewestUpdateHasOnlyTheLastChange() throws Exception {
+        int changedRoutes = 13;
+        writeVersion(1, changedRoutes);
+        FollowingRouter controller = openListed("r1");
+        FollowingRouter listener = openListed("r2");
+        FollowingRouter.connect(controller, controller, listener);
+        follow(listener, controller);
+        FollowingRouters.disconnect(controller, listener);
+        passToNextVersion(controller, changedRoutes);
+        passToNextVersion(controller, changedRoutes);
+
+        FollowingRouters.reconnect(controller, listener);
+
+        BooleanSupplier isKnown = () -> listener.version() >= 3;
+        assertThat(holdsInTime(isKnown, () -> passToNextVersionAndPause(controller, changedRoutes)))
+                .as("version 3 is known within 2,000 ms; known is version %d", listener.version())
+                .isTrue();
+    }
+
     /** Guards against a router that never catches up with updates that found the ring of its duty full. */
     @Test
     void shouldKnowAVersionThatFoundTheRingFull() throws Exception {
