--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ToldConfigurationsTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ToldConfigurationsTest.java
@@ -190,6 +190,30 @@
                 .isTrue();
     }
 
+    /** Guards against an evacuation that goes on because the controller learned its end from a listing. */
+    @Test
+    @Tag("known-red")
+    void shouldKnowTheEndOfAnEvacuationThatTheControllerLearnedFromAListing() throws Exception {
+        writeVersion(1, 1);
+        store.put(EVACUATION, "");
+        FollowingRouter controller = openListed("r1");
+        FollowingRouter listener = openListed("r2");
+        FollowingRouter.connect(controller, controller, listener);
+        follow(listener, controller);
+        writeVersion(2, 1);
+        writeVersion(3, 1);
+        controller.readOperators();
+        await(() -> listener.version() == 3);
+        store.remove(EVACUATION);
+
+        controller.readOperators();
+
+        assertThat(controller.evacuatedDataCentres()).isEmpty();
+        assertThat(holdsInTime(() -> listener.evacuatedDataCentres().isEmpty(), controller::readOperators))
+                .as("the end is known within 2,000 ms; evacuated are %s", listener.evacuatedDataCentres())
+                .isTrue();
+    }
+
     /** Guards against a change that is made when the control passes on and that nobody reads for too long. */
     @Test
     void shouldKnowAChangeThatIsMadeWhenTheControlPassesOnBetweenTwoRouters() throws Exception {
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ToldServersTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ToldServersTest.java
@@ -5,6 +5,7 @@
 import static org.daisyscale.router.internal.serving.FollowingRouters.holdsInTime;
 
 import java.io.IOException;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
@@ -165,4 +166,33 @@
 
         assertKnownWhileOthersChange(controller, listener, "servers/a", revision);
     }
+
+    /** Guards against a server that is kept because its removal after the grace period has no revision of its own. */
+    @Test
+    @Tag("known-red")
+    void shouldKnowThatAServerIsGoneThoughThatWasToldWhileTheRouterWasDisconnected() throws Exception {
+        store.put("servers/a", "up");
+        store.put("servers/lapsed", "up");
+        FollowingRouter controller = openListed("r1");
+        FollowingRouter listener = openListed("r2");
+        FollowingRouter.connect(controller, controller, listener);
+        follow(listener, controller);
+        loseTheStore(controller);
+        store.remove("servers/lapsed");
+        long revision = store.put("servers/a", "draining");
+        store.setReachable(true);
+        long startNanos = System.nanoTime();
+        await(() -> knows(listener, "servers/a", revision), controller::readServers);
+        await(() -> System.nanoTime() - startNanos >= GRACE_WITH_MARGIN_MILLIS * 1_000_000L, controller::readServers);
+        FollowingRouters.disconnect(controller, listener);
+        await(() -> !knows(controller, "servers/lapsed", 1), controller::readServers);
+        assertThat(knows(listener, "servers/lapsed", 1)).isTrue();
+
+        FollowingRouters.reconnect(controller, listener);
+
+        BooleanSupplier isGone = () -> !knows(listener, "servers/lapsed", 1);
+        assertThat(holdsInTime(isGone, controller::readServers))
+                .as("the server is known to be gone within 2,000 ms: %s", listener.revisionByServer())
+                .isTrue();
+    }
 }
