--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ConfirmedWatchGuardTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ConfirmedWatchGuardTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.daisyscale.core.peer.PeerMessage.StoreProgress;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class ConfirmedWatchGuardTest {
@@ -75,6 +76,49 @@
         assertThat(guard.isOverdue(7, nowNanos)).isFalse();
     }
 
+    /** Guards against incident DENIED: each newer report let a router that missed a revision count as up to date. */
+    @Test
+    @Tag("known-red")
+    void shouldBeBehindAMissedRevisionAlthoughNewerOnesAreReportedMoreOftenThanTheLag() {
+        guard.recordRevision(7);
+        guard.confirm(new StoreProgress("servers/", 8));
+
+        reportNewerRevisionsWithinTheLag(8);
+
+        assertThat(guard.isBehind(7)).isTrue();
+    }
+
+    @Test
+    @Tag("known-red")
+    void shouldGiveUpAWatchThatMissedARevisionAlthoughNewerOnesAreReportedMoreOftenThanTheLag() {
+        long startNanos = nowNanos;
+        guard.recordRevision(7);
+        guard.confirm(new StoreProgress("servers/", 8));
+
+        reportNewerRevisionsWithinTheLag(8);
+
+        assertThat(guard.isOverdue(7, startNanos)).isTrue();
+    }
+
+    /** Guards against listings by routers that keep up with the controller. */
+    @Test
+    void shouldNotBeBehindWhileEachReportedRevisionIsReachedWithinTheLag() {
+        for (long revision = 8; revision < 20; revision++) {
+            guard.confirm(new StoreProgress("servers/", revision));
+            advance(ConfirmedWatchGuard.MAX_LAG_MILLIS - 1);
+
+            assertThat(guard.isBehind(revision - 1)).isFalse();
+            guard.recordRevision(revision);
+        }
+    }
+
+    private void reportNewerRevisionsWithinTheLag(long revision) {
+        for (long newer = revision + 1; newer <= revision + 10; newer++) {
+            advance(ConfirmedWatchGuard.MAX_LAG_MILLIS - 1);
+            guard.confirm(new StoreProgress("servers/", newer));
+        }
+    }
+
     @Test
     void shouldGiveUpALongWatchOnceTheConfirmationTimeoutIsOver() {
         guard.confirm(new StoreProgress("servers/", 7));
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FleetWatchDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FleetWatchDutyTest.java
@@ -6,14 +6,22 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.daisyscale.core.peer.PeerMessage.StoreProgress;
 import org.daisyscale.core.platform.CoordinationStore;
 import org.daisyscale.core.platform.PrefixChange;
 import org.daisyscale.router.internal.ring.ArrayRing;
 import org.daisyscale.router.internal.ring.Ring;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class FleetWatchDutyTest {
+    /** The time limit for an accepted registration or removal to come into force, in milliseconds. */
+    private static final long APPLY_LIMIT_MILLIS = 2_000;
+    /** The interval of the controller's reports while servers change steadily, in milliseconds. */
+    private static final long REPORT_INTERVAL_MILLIS = 200;
+
     private final ScriptedStore store = new ScriptedStore();
     private final List<String> notifications = new ArrayList<>();
     private final List<Long> maxAgesMillis = new ArrayList<>();
@@ -21,27 +29,28 @@
     private final List<PrefixChange> published = new ArrayList<>();
     private final ConfirmedWatchGuard guard =
             new ConfirmedWatchGuard("servers/", progress -> {}, () -> false, () -> {}, System::nanoTime);
+    private final FleetWatchDuty.Listener listener = new FleetWatchDuty.Listener() {
+        @Override
+        public void onWritten(CoordinationStore.Item item, long maxAgeMillis) {
+            maxAgesMillis.add(maxAgeMillis);
+            if (item.key().equals("servers/odd")) {
+                throw new IllegalStateException("the listener cannot handle this item");
+            }
+            notifications.add("written " + item.key() + "@" + item.revision());
+        }
+
+        @Override
+        public void onRemoved(String key) {
+            notifications.add("removed " + key);
+        }
+
+        @Override
+        public void onListed() {
+            notifications.add("listed");
+        }
+    };
     private final FleetWatchDuty duty =
-            new FleetWatchDuty(store, "servers/", guard, 0, updates, published::add, new FleetWatchDuty.Listener() {
-                @Override
-                public void onWritten(CoordinationStore.Item item, long maxAgeMillis) {
-                    maxAgesMillis.add(maxAgeMillis);
-                    if (item.key().equals("servers/odd")) {
-                        throw new IllegalStateException("the listener cannot handle this item");
-                    }
-                    notifications.add("written " + item.key() + "@" + item.revision());
-                }
-
-                @Override
-                public void onRemoved(String key) {
-                    notifications.add("removed " + key);
-                }
-
-                @Override
-                public void onListed() {
-                    notifications.add("listed");
-                }
-            });
+            new FleetWatchDuty(store, "servers/", guard, 0, updates, published::add, listener);
 
     private static CoordinationStore.Item item(String key, long revision) {
         return new CoordinationStore.Item(key, new byte[0], revision);
@@ -190,6 +199,48 @@
         assertThat(notifications).doesNotContain("written servers/b@9").contains("written servers/c@7");
     }
 
+    /** Guards against incident DENIED among servers: a router that missed a change kept its view of them. */
+    @Test
+    @Tag("known-red")
+    void shouldLearnOfARegisteredServerInTimeWhenChangesThatDoNotApplyKeepComing() throws InterruptedException {
+        followChangesThatDoNotApply(List.of(item("servers/a", 4), item("servers/c", 7)));
+
+        assertThat(notifications)
+                .as("what was known within %d ms", APPLY_LIMIT_MILLIS)
+                .contains("written servers/c@7");
+    }
+
+    @Test
+    @Tag("known-red")
+    void shouldLearnOfARemovedServerInTimeWhenChangesThatDoNotApplyKeepComing() throws InterruptedException {
+        followChangesThatDoNotApply(List.of());
+
+        assertThat(notifications)
+                .as("what was known within %d ms", APPLY_LIMIT_MILLIS)
+                .contains("removed servers/a");
+    }
+
+    /** Lists one server and then receives changes that start after the listing, while the store has {@code items}. */
+    private void followChangesThatDoNotApply(List<CoordinationStore.Item> items) throws InterruptedException {
+        AtomicLong clockNanos = new AtomicLong();
+        ConfirmedWatchGuard clockedGuard =
+                new ConfirmedWatchGuard("servers/", progress -> {}, () -> false, () -> {}, clockNanos::get);
+        Ring<PrefixChange> reports = new PeriodicRing<>(clockNanos, REPORT_INTERVAL_MILLIS, number -> {
+            clockedGuard.confirm(new StoreProgress("servers/", 7 + number));
+            return new PrefixChange(
+                    "servers/", 6 + number, 7 + number, List.of(item("servers/b", 7 + number)), Set.of());
+        });
+        FleetWatchDuty follower =
+                new FleetWatchDuty(store, "servers/", clockedGuard, 0, reports, published::add, listener);
+        store.enqueueListing(new CoordinationStore.Listing(List.of(item("servers/a", 4)), 5));
+        store.enqueueListing(new CoordinationStore.Listing(items, 17));
+        clockedGuard.confirm(new StoreProgress("servers/", 4));
+
+        while (clockNanos.get() < TimeUnit.MILLISECONDS.toNanos(APPLY_LIMIT_MILLIS)) {
+            follower.runStep();
+        }
+    }
+
     @Test
     void shouldNotTakeBackAServerThatIsGoneByAnOlderChange() throws InterruptedException {
         store.enqueueListing(new CoordinationStore.Listing(List.of(), 12));
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/OperatorWatchDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/OperatorWatchDutyTest.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.daisyscale.core.peer.PeerMessage.OperatorUpdate;
 import org.daisyscale.core.peer.PeerMessage.StoreProgress;
 import org.daisyscale.core.platform.CoordinationStore.Changes;
@@ -24,10 +26,15 @@
 import org.daisyscale.router.internal.ring.ArrayRing;
 import org.daisyscale.router.internal.ring.Ring;
 import org.daisyscale.router.serving.FleetDecoder;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class OperatorWatchDutyTest {
     private static final RequestLimits LIMITS = new RequestLimits(16_384, 1_000_000, 3_000, 15_000);
+    /** The time limit for a confirmed configuration to come into force, in milliseconds. */
+    private static final long APPLY_LIMIT_MILLIS = 2_000;
+    /** The interval of the controller's reports while the configuration changes steadily, in milliseconds. */
+    private static final long REPORT_INTERVAL_MILLIS = 200;
 
     private final ScriptedStore store = new ScriptedStore();
     private final List<ServingEvent> events = new ArrayList<>();
@@ -35,14 +42,18 @@
     private final Ring<OperatorUpdate> updates = new ArrayRing<>("updates", 4);
     private final ConfirmedWatchGuard guard =
             new ConfirmedWatchGuard("op/", progress -> {}, () -> false, () -> {}, System::nanoTime);
-    private final OperatorWatchDuty duty = new OperatorWatchDuty(
-            store,
-            "op/",
-            guard,
-            0,
-            updates,
-            new OperatorState(new NumbersDecoder(), events::add, new Readiness()),
-            published::add);
+    private final OperatorWatchDuty duty = createDuty(guard, updates);
+
+    private OperatorWatchDuty createDuty(ConfirmedWatchGuard itsGuard, Ring<OperatorUpdate> itsUpdates) {
+        return new OperatorWatchDuty(
+                store,
+                "op/",
+                itsGuard,
+                0,
+                itsUpdates,
+                new OperatorState(new NumbersDecoder(), events::add, new Readiness()),
+                published::add);
+    }
 
     /** Returns the configuration of {@code version}, whose only route has the version as its timeout. */
     private static RoutingTable table(long version) {
@@ -121,6 +132,31 @@
         assertThat(publishedVersions()).containsExactly(1L, 3L);
     }
 
+    /** Guards against incident DENIED: a router kept a version that the new controller had skipped. */
+    @Test
+    @Tag("known-red")
+    void shouldReadTheStoreInTimeWhenUpdatesThatDoNotApplyKeepComing() throws InterruptedException {
+        AtomicLong clockNanos = new AtomicLong();
+        ConfirmedWatchGuard clockedGuard =
+                new ConfirmedWatchGuard("op/", progress -> {}, () -> false, () -> {}, clockNanos::get);
+        Ring<OperatorUpdate> reports = new PeriodicRing<>(clockNanos, REPORT_INTERVAL_MILLIS, number -> {
+            clockedGuard.confirm(new StoreProgress("op/", 7 + number));
+            return update(7 + number, 1 + number, 2 + number, Set.of());
+        });
+        OperatorWatchDuty follower = createDuty(clockedGuard, reports);
+        store.enqueueListing(new Listing(List.of(configuration(1, 5)), 6));
+        store.enqueueListing(new Listing(List.of(configuration(12, 17)), 17));
+        clockedGuard.confirm(new StoreProgress("op/", 5));
+
+        while (clockNanos.get() < TimeUnit.MILLISECONDS.toNanos(APPLY_LIMIT_MILLIS)) {
+            follower.runStep();
+        }
+
+        assertThat(publishedVersions())
+                .as("versions in force within %d ms", APPLY_LIMIT_MILLIS)
+                .startsWith(1L, 12L);
+    }
+
     @Test
     void shouldIgnoreAnUpdateThatIsOlderThanWhatWasRead() throws InterruptedException {
         store.enqueueListing(new Listing(List.of(configuration(3, 9)), 12));
