--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/OperatorWatchDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/OperatorWatchDutyTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import org.daisyscale.core.peer.PeerMessage.OperatorUpdate;
@@ -27,6 +28,10 @@
 
 class OperatorWatchDutyTest {
     private static final WatchReports NO_REPORTS = new WatchReports((event, detail) -> {}, result -> {});
+    /** The time limit for a confirmed configuration to come into force, in milliseconds. */
+    private static final long APPLY_LIMIT_MILLIS = 2_000;
+    /** The interval of the controller's reports while the configuration changes steadily, in milliseconds. */
+    private static final long REPORT_INTERVAL_MILLIS = 200;
 
     private final ScriptedStore store = new ScriptedStore();
     private final List<ServingEvent> events = new ArrayList<>();
@@ -34,15 +39,19 @@
     private final Ring<ControllerUpdate> updates = new ArrayRing<>("updates", 4);
     private final ConfirmedWatchGuard guard =
             new ConfirmedWatchGuard("op/", progress -> {}, () -> false, nanos -> {}, System::nanoTime);
-    private final OperatorWatchDuty duty = new OperatorWatchDuty(
-            store,
-            "op/",
-            guard,
-            0,
-            updates,
-            new OperatorState(new NumberedConfigurations(), events::add, new Readiness()),
-            published::add,
-            NO_REPORTS);
+    private final OperatorWatchDuty duty = createDuty(guard, updates);
+
+    private OperatorWatchDuty createDuty(ConfirmedWatchGuard itsGuard, Ring<ControllerUpdate> itsUpdates) {
+        return new OperatorWatchDuty(
+                store,
+                "op/",
+                itsGuard,
+                0,
+                itsUpdates,
+                new OperatorState(new NumberedConfigurations(), events::add, new Readiness()),
+                published::add,
+                NO_REPORTS);
+    }
 
     private List<Long> publishedVersions() {
         return events.stream()
@@ -110,6 +119,31 @@
         assertThat(publishedVersions()).containsExactly(1L, 3L);
     }
 
+    /** Guards against incident DENIED: a router kept a version that the new controller had skipped. */
+    @Test
+    @Tag("known-red")
+    void shouldReadTheStoreInTimeWhenUpdatesThatDoNotApplyKeepComing() throws InterruptedException {
+        AtomicLong clockNanos = new AtomicLong();
+        ConfirmedWatchGuard clockedGuard =
+                new ConfirmedWatchGuard("op/", progress -> {}, () -> false, nanos -> {}, clockNanos::get);
+        Ring<ControllerUpdate> reports = new PeriodicRing<>(clockNanos, REPORT_INTERVAL_MILLIS, number -> {
+            clockedGuard.confirm(new StoreProgress("op/", 7 + number));
+            return update(7 + number, 1 + number, 2 + number, Set.of());
+        });
+        OperatorWatchDuty follower = createDuty(clockedGuard, reports);
+        store.enqueueListing(new Listing(List.of(configuration(1, 5)), 6));
+        store.enqueueListing(new Listing(List.of(configuration(12, 17)), 17));
+        clockedGuard.confirm(new StoreProgress("op/", 5));
+
+        while (clockNanos.get() < TimeUnit.MILLISECONDS.toNanos(APPLY_LIMIT_MILLIS)) {
+            follower.runStep();
+        }
+
+        assertThat(publishedVersions())
+                .as("versions in force within %d ms", APPLY_LIMIT_MILLIS)
+                .startsWith(1L, 12L);
+    }
+
     @Test
     void shouldIgnoreAnUpdateThatIsOlderThanWhatWasRead() throws InterruptedException {
         store.enqueueListing(new Listing(List.of(configuration(3, 9)), 12));
