--- a/daisyscale-codec/src/main/java/org/daisyscale/codec/peer/PeerCodec.java
+++ b/daisyscale-codec/src/main/java/org/daisyscale/codec/peer/PeerCodec.java
@@ -17,7 +17,7 @@
  */
 public final class PeerCodec {
     /** Must be increased if a router of the previous release could misread a message. */
-    public static final int PROTOCOL_VERSION = 2;
+    public static final int PROTOCOL_VERSION = 3;
 
     private final EnvelopeCodec<PeerMessage> envelopes;
 
--- /dev/null
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ItemView.java
@@ -0,0 +1,246 @@
+package org.daisyscale.core.following;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.daisyscale.core.platform.CoordinationStore.Changes;
+import org.daisyscale.core.platform.CoordinationStore.Item;
+import org.daisyscale.core.platform.CoordinationStore.ItemChange;
+import org.daisyscale.core.platform.CoordinationStore.Listing;
+
+/**
+ * A view of the items under one prefix. An item is only ever replaced by a newer version of it, and is removed only by
+ * what was read or told later than the item was written. Every change, also the removal of an item that lapsed, changes
+ * the digest. Not thread-safe; confined to one thread.
+ */
+public final class ItemView implements ViewContents {
+    /** Removals that are remembered for followers; one that is further behind gets everything. */
+    private static final int MAX_REMOVALS = 1_024;
+
+    private final String prefix;
+    private final ViewListener listener;
+    private final Map<String, Item> itemByKey = new HashMap<>();
+    private final Set<String> lapsedKeys = new LinkedHashSet<>();
+    private final Deque<Removal> removals = new ArrayDeque<>();
+    /** The revision from which on no removal is missing in {@link #removals}. */
+    private long removalsSinceRevision;
+
+    private long revision;
+    private long digest;
+
+    /** Creates an empty view of {@code prefix} that reports its changes to {@code listener}. */
+    public ItemView(String prefix, ViewListener listener) {
+        this.prefix = prefix;
+        this.listener = listener;
+    }
+
+    @Override
+    public ViewVersion version() {
+        return new ViewVersion(revision, digest);
+    }
+
+    @Override
+    public void applyListing(Listing listing, ReadCircumstances circumstances) {
+        if (listing.revision() < revision) {
+            return;
+        }
+        boolean isFirst = revision == 0;
+        Set<String> listedKeys = new HashSet<>();
+        listing.items().forEach(item -> listedKeys.add(item.key()));
+        for (Item known : List.copyOf(itemByKey.values())) {
+            if (!listedKeys.contains(known.key()) && known.revision() <= listing.revision()) {
+                recordMissing(known.key(), listing.revision(), circumstances);
+            }
+        }
+        listing.items().forEach(item -> write(item, circumstances.maxAgeMillis()));
+        revision = listing.revision();
+        if (isFirst) {
+            removalsSinceRevision = revision;
+        }
+        listener.onComplete();
+    }
+
+    @Override
+    public void applyChanges(Changes changes, ReadCircumstances circumstances) {
+        Map<String, ItemChange> lastByKey = new LinkedHashMap<>();
+        changes.changes().forEach(change -> lastByKey.put(change.key(), change));
+        long newest = changes.revision();
+        for (ItemChange change : lastByKey.values()) {
+            newest = Math.max(newest, change.revision());
+            if (change.item().isPresent()) {
+                write(change.item().get(), circumstances.maxAgeMillis());
+            } else if (isHeldBefore(change.key(), change.revision())) {
+                recordMissing(change.key(), change.revision(), circumstances);
+            }
+        }
+        revision = Math.max(revision, newest);
+        listener.onComplete();
+    }
+
+    private boolean isHeldBefore(String key, long removedRevision) {
+        Item known = itemByKey.get(key);
+        return known != null && known.revision() <= removedRevision;
+    }
+
+    @Override
+    public UpdateResult applyUpdate(ViewUpdate update, String controllerId, long maxAgeMillis) {
+        UpdateResult result = check(update);
+        if (result == UpdateResult.APPLIED) {
+            keysRemovedBy(update).forEach(key -> remove(key, update.version().revision()));
+            update.written().forEach(item -> write(item, maxAgeMillis));
+            if (revision == 0) {
+                removalsSinceRevision = update.version().revision();
+            }
+            revision = update.version().revision();
+            listener.onComplete();
+        }
+        return result;
+    }
+
+    /** Returns what would become of {@code update}, and changes nothing. */
+    public UpdateResult check(ViewUpdate update) {
+        boolean isHeld = revision > 0 && update.version().hasSameItems(version());
+        if (update.version().revision() < revision || isHeld || wouldTakeBack(update)) {
+            return UpdateResult.OLDER;
+        }
+        if (revision == 0 && !update.isWhole()) {
+            return UpdateResult.NOT_LISTED;
+        }
+        return digestAfter(update) == update.version().digest() ? UpdateResult.APPLIED : UpdateResult.DOES_NOT_APPLY;
+    }
+
+    /** Returns whether the update lacks a change that this router read, which may be further than its revision. */
+    private boolean wouldTakeBack(ViewUpdate update) {
+        boolean isAnyWrittenOlder = update.written().stream().anyMatch(item -> {
+            Item known = itemByKey.get(item.key());
+            return known != null && known.revision() > item.revision();
+        });
+        return isAnyWrittenOlder
+                || keysRemovedBy(update).stream()
+                        .anyMatch(key ->
+                                itemByKey.get(key).revision() > update.version().revision());
+    }
+
+    private Set<String> keysRemovedBy(ViewUpdate update) {
+        Set<String> keys = new HashSet<>(update.isWhole() ? itemByKey.keySet() : update.removedKeys());
+        keys.retainAll(itemByKey.keySet());
+        update.written().forEach(item -> keys.remove(item.key()));
+        return keys;
+    }
+
+    private long digestAfter(ViewUpdate update) {
+        long after = digest;
+        for (String key : keysRemovedBy(update)) {
+            after -= ItemDigest.of(key, itemByKey.get(key).revision());
+        }
+        Map<String, Long> writtenRevisions = new HashMap<>();
+        for (Item item : update.written()) {
+            Item known = itemByKey.get(item.key());
+            Long replaced = writtenRevisions.put(item.key(), item.revision());
+            if (replaced != null) {
+                after -= ItemDigest.of(item.key(), replaced);
+            } else if (known != null) {
+                after -= ItemDigest.of(item.key(), known.revision());
+            }
+            after += ItemDigest.of(item.key(), item.revision());
+        }
+        return after;
+    }
+
+    @Override
+    public void confirm(long confirmedRevision) {
+        if (revision == 0) {
+            removalsSinceRevision = confirmedRevision;
+        }
+        revision = Math.max(revision, confirmedRevision);
+    }
+
+    @Override
+    public ViewUpdate updateFrom(ViewVersion held, boolean isWhole) {
+        boolean isDifference = !isWhole && held.revision() >= removalsSinceRevision && held.revision() > 0;
+        if (!isDifference) {
+            return new ViewUpdate(prefix, version(), true, List.copyOf(itemByKey.values()), Set.of(), List.of());
+        }
+        List<Item> written = itemByKey.values().stream()
+                .filter(item -> item.revision() >= held.revision())
+                .toList();
+        Set<String> removedKeys = new HashSet<>();
+        removals.stream()
+                .filter(removal -> removal.revision() >= held.revision() && !itemByKey.containsKey(removal.key()))
+                .forEach(removal -> removedKeys.add(removal.key()));
+        return new ViewUpdate(prefix, version(), false, written, removedKeys, List.of());
+    }
+
+    @Override
+    public boolean canBeTold() {
+        return true;
+    }
+
+    @Override
+    public void removeLapsed() {
+        if (!lapsedKeys.isEmpty()) {
+            Set.copyOf(lapsedKeys).forEach(key -> remove(key, revision));
+            listener.onComplete();
+        }
+    }
+
+    @Override
+    public boolean hasLapsed() {
+        return !lapsedKeys.isEmpty();
+    }
+
+    @Override
+    public String describe() {
+        return "revision=%d items=%d".formatted(revision, itemByKey.size());
+    }
+
+    private void recordMissing(String key, long removedRevision, ReadCircumstances circumstances) {
+        if (circumstances.mayHaveLapsed()) {
+            lapsedKeys.add(key);
+        } else {
+            remove(key, removedRevision);
+        }
+    }
+
+    private void write(Item item, long maxAgeMillis) {
+        Item known = itemByKey.get(item.key());
+        lapsedKeys.remove(item.key());
+        if (known != null && known.revision() >= item.revision()) {
+            return;
+        }
+        if (known != null) {
+            digest -= ItemDigest.of(item.key(), known.revision());
+        }
+        digest += ItemDigest.of(item.key(), item.revision());
+        itemByKey.put(item.key(), item);
+        listener.onWritten(item, maxAgeMillis);
+    }
+
+    private void remove(String key, long removedRevision) {
+        lapsedKeys.remove(key);
+        Item known = itemByKey.remove(key);
+        if (known == null) {
+            return;
+        }
+        digest -= ItemDigest.of(key, known.revision());
+        removals.addLast(new Removal(key, removedRevision));
+        if (removals.size() > MAX_REMOVALS) {
+            removalsSinceRevision = removals.removeFirst().revision() + 1;
+        }
+        listener.onRemoved(key);
+    }
+
+    /**
+     * A removal of an item. Immutable.
+     *
+     * @param key the item's key
+     * @param revision the store's revision at which it was known to be gone
+     */
+    private record Removal(String key, long revision) {}
+}
--- /dev/null
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/StoreReads.java
@@ -0,0 +1,80 @@
+package org.daisyscale.core.following;
+
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.daisyscale.core.following.ReadRequest.Kind;
+
+/**
+ * The reads of one prefix in the store: which one is pending, and when the next one may start. Not thread-safe;
+ * confined to one thread.
+ */
+final class StoreReads {
+    /** Shortest and longest pause after a failed call, in milliseconds. */
+    private static final long MIN_PAUSE_MILLIS = 40;
+
+    private static final long MAX_PAUSE_MILLIS = 800;
+    private static final int MAX_PAUSE_DOUBLINGS = 6;
+    private static final double MIN_JITTER = 0.5;
+
+    private final RandomGenerator random;
+    private final long batchMillis;
+    private Optional<ReadRequest> pending = Optional.empty();
+    private boolean hasStarted;
+    private long startedNanos;
+    private long notBeforeNanos;
+    private int failureCount;
+
+    StoreReads(RandomGenerator random, long batchMillis, long nowNanos) {
+        this.random = random;
+        this.batchMillis = batchMillis;
+        this.notBeforeNanos = nowNanos;
+    }
+
+    void recordStarted(ReadRequest request, long nowNanos) {
+        pending = Optional.of(request);
+        hasStarted = true;
+        startedNanos = nowNanos;
+    }
+
+    /** Records a response; the next read waits for further changes to read, unless there was nothing to read. */
+    void recordResponse(int changeCount, long nowNanos) {
+        boolean wasWatch = isWatchPending();
+        pending = Optional.empty();
+        failureCount = 0;
+        notBeforeNanos = nowNanos + (wasWatch && changeCount == 0 ? 0 : Deadlines.nanos(batchMillis));
+    }
+
+    void recordFailed(long nowNanos) {
+        pending = Optional.empty();
+        long pauseMillis = Math.min(MAX_PAUSE_MILLIS, MIN_PAUSE_MILLIS << failureCount);
+        failureCount = Math.min(failureCount + 1, MAX_PAUSE_DOUBLINGS);
+        notBeforeNanos = nowNanos + (long) (Deadlines.nanos(pauseMillis) * (MIN_JITTER + random.nextDouble()));
+    }
+
+    boolean isPending() {
+        return pending.isPresent();
+    }
+
+    boolean isWatchPending() {
+        return pending.map(ReadRequest::kind).filter(Kind.WATCH::equals).isPresent();
+    }
+
+    boolean hasJustFailed() {
+        return failureCount > 0;
+    }
+
+    /** Returns whether the pause after the last read is over. */
+    boolean mayStart(long nowNanos) {
+        return nowNanos - notBeforeNanos >= 0;
+    }
+
+    boolean hasStartedWithin(long millis, long nowNanos) {
+        return hasStarted && !Deadlines.hasPassed(millis, startedNanos, nowNanos);
+    }
+
+    void addDeadlines(Deadlines deadlines) {
+        if (pending.isEmpty()) {
+            deadlines.add(notBeforeNanos);
+        }
+    }
+}
--- /dev/null
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/TellerDialogue.java
@@ -0,0 +1,99 @@
+package org.daisyscale.core.following;
+
+import java.util.Optional;
+import org.daisyscale.core.following.FollowStep.Holding;
+
+/**
+ * What a follower tells the controller: what it holds, once for each controller and connection, after each change, and
+ * again while a gap is not closed. Not thread-safe; confined to one thread.
+ */
+final class TellerDialogue {
+    private Optional<Teller> teller = Optional.empty();
+    private long heardNanos;
+    private boolean hasSaid;
+    private boolean mustSay;
+    private boolean needsWhole;
+    private long saidNanos;
+    private long notBeforeNanos;
+
+    TellerDialogue(long nowNanos) {
+        this.notBeforeNanos = nowNanos;
+    }
+
+    void recordHeard(Teller reporter, long nowNanos) {
+        if (!teller.equals(Optional.of(reporter))) {
+            teller = Optional.of(reporter);
+            hasSaid = false;
+        }
+        heardNanos = nowNanos;
+    }
+
+    /** Forgets the teller, because it fell silent; returns whether there was one. */
+    boolean forgetTeller() {
+        boolean hadTeller = teller.isPresent();
+        teller = Optional.empty();
+        return hadTeller;
+    }
+
+    /** Records that an update of the teller was applied, which has to be acknowledged. */
+    void recordApplied() {
+        needsWhole = false;
+        mustSay = true;
+    }
+
+    /** Records that the view changed otherwise; {@code isComplete} says that it lacks nothing. */
+    void recordChanged(boolean isComplete) {
+        needsWhole = needsWhole && !isComplete;
+        mustSay = mustSay || hasSaid;
+    }
+
+    /**
+     * Records that an update was not applied.
+     *
+     * @param wouldRepeat whether the answer to the same question would be the same update, so that it is asked later
+     */
+    void recordRefused(boolean isWholeNeeded, boolean wouldRepeat, long nowNanos) {
+        needsWhole = needsWhole || isWholeNeeded;
+        mustSay = true;
+        if (wouldRepeat) {
+            notBeforeNanos = nowNanos + Deadlines.nanos(ViewFollower.ASK_AGAIN_MILLIS);
+        }
+    }
+
+    /** Returns when the teller was last heard. */
+    long heardNanos() {
+        return heardNanos;
+    }
+
+    boolean hasTeller() {
+        return teller.isPresent();
+    }
+
+    /** Returns what to tell now, which then counts as said. */
+    Optional<Holding> next(ViewVersion held, ViewAge age, long nowNanos) {
+        boolean isDue = !hasSaid || mustSay || isQuestionDue(age, nowNanos);
+        if (!isDue || nowNanos - notBeforeNanos < 0) {
+            return Optional.empty();
+        }
+        hasSaid = true;
+        mustSay = false;
+        saidNanos = nowNanos;
+        return teller.map(receiver -> new Holding(receiver, held, needsWhole));
+    }
+
+    private boolean isQuestionDue(ViewAge age, long nowNanos) {
+        return age.hasGap()
+                && Deadlines.hasPassed(ViewFollower.ASK_AFTER_MILLIS, age.gapNanos(), nowNanos)
+                && Deadlines.hasPassed(ViewFollower.ASK_AGAIN_MILLIS, saidNanos, nowNanos);
+    }
+
+    void addDeadlines(Deadlines deadlines, ViewAge age) {
+        if (mustSay || !hasSaid) {
+            deadlines.add(notBeforeNanos);
+        }
+        if (age.hasGap()) {
+            deadlines.add(age.gapNanos() + Deadlines.nanos(ViewFollower.ASK_AFTER_MILLIS));
+            deadlines.add(saidNanos + Deadlines.nanos(ViewFollower.ASK_AGAIN_MILLIS));
+        }
+    }
+}
--- /dev/null
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewAge.java
@@ -0,0 +1,90 @@
+package org.daisyscale.core.following;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * The age of a view. A view that lacks something ages from the oldest report of it: no later report, no update that is
+ * applied in part and no report that repeats what is held makes it younger. Not thread-safe; confined to one thread.
+ */
+final class ViewAge {
+    /** Maximum number of reports that are kept; of more, the oldest ones count, which decide how old the view is. */
+    private static final int MAX_MISSED_REPORTS = 64;
+
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final Deque<Report> missedReports = new ArrayDeque<>();
+    private long currentNanos;
+
+    /** Creates the age of a view that counts as current at {@code nowNanos}. */
+    ViewAge(long nowNanos) {
+        this.currentNanos = nowNanos;
+    }
+
+    /** Records a report of something that the view lacks. */
+    void recordMissed(ViewVersion reported, long nowNanos) {
+        if (missedReports.size() == MAX_MISSED_REPORTS) {
+            missedReports.removeLast();
+        }
+        missedReports.addLast(new Report(reported, nowNanos));
+    }
+
+    /** Records that {@code held} is held now, which may be less than what was reported. */
+    void recordHeld(ViewVersion held) {
+        while (!missedReports.isEmpty() && missedReports.getFirst().isReachedBy(held)) {
+            markCurrent(missedReports.removeFirst().nanos());
+        }
+    }
+
+    /** Records that the view holds everything that was reported up to {@code nanos}. */
+    void recordComplete(long nanos) {
+        missedReports.clear();
+        markCurrent(nanos);
+    }
+
+    /** Records a response of the store at {@code nanos}; the view is current unless it lacks what was reported. */
+    void recordRead(long nanos) {
+        if (missedReports.isEmpty()) {
+            markCurrent(nanos);
+        }
+    }
+
+    private void markCurrent(long nanos) {
+        if (nanos - currentNanos > 0) {
+            currentNanos = nanos;
+        }
+    }
+
+    /** Returns whether the view lacks something that was reported. */
+    boolean hasGap() {
+        return !missedReports.isEmpty();
+    }
+
+    /** Returns when the oldest report of something that the view lacks arrived; there must be one. */
+    long gapNanos() {
+        return missedReports.getFirst().nanos();
+    }
+
+    /** Returns when the view was last known to lack nothing. */
+    long currentNanos() {
+        return currentNanos;
+    }
+
+    /** Returns the time since the view was last known to lack nothing, in milliseconds. */
+    long millis(long nowNanos) {
+        return (nowNanos - currentNanos) / NANOS_PER_MILLI;
+    }
+
+    /**
+     * A report of the controller that is not reached here. Immutable.
+     *
+     * @param version what the controller holds
+     * @param nanos when the report arrived
+     */
+    private record Report(ViewVersion version, long nanos) {
+
+        boolean isReachedBy(ViewVersion held) {
+            return version.revision() < held.revision() || version.hasSameItems(held);
+        }
+    }
+}
--- a/daisyscale-core/src/main/java/org/daisyscale/core/peer/PeerMessage.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/peer/PeerMessage.java
@@ -1,18 +1,17 @@
 package org.daisyscale.core.peer;
 
 import java.util.List;
-import java.util.Set;
 import org.daisyscale.core.document.Configuration;
+import org.daisyscale.core.following.ViewUpdate;
+import org.daisyscale.core.following.ViewVersion;
 import org.daisyscale.core.keys.KeyLoad;
 import org.daisyscale.core.membership.ServerStatus;
 import org.daisyscale.core.ownership.OwnershipMap;
-import org.daisyscale.core.platform.PrefixChange;
 import org.daisyscale.core.request.BackendOutcome;
 import org.daisyscale.core.request.Permit;
 import org.daisyscale.core.serving.FleetNews;
 import org.daisyscale.core.serving.KeyMap;
 import org.daisyscale.core.serving.KeyMapChange;
-import org.daisyscale.core.serving.RoutingTableChange;
 
 /**
  * A message between routers. The connection identifies the sender. Each message is immutable.
@@ -301,19 +300,29 @@
     record KeyMapRequest(String service) implements PeerMessage {}
 
     /**
-     * Carries what the controller read under a prefix of the store since its last message about it.
+     * Reports that the controller has just read a prefix of the store, and what it holds.
      *
-     * @param change the change
+     * @param prefix the key prefix
+     * @param version the version of the controller's view
      */
-    record PrefixChanged(PrefixChange change) implements PeerMessage {}
+    record ViewReport(String prefix, ViewVersion version) implements PeerMessage {}
 
     /**
-     * Reports how far the controller has read the store at the time of sending.
+     * Says what the sender holds of a prefix: acknowledges updates up to it, and asks for the difference to the
+     * controller's view.
      *
-     * @param prefix the key prefix of the items read
-     * @param revision the store's revision of the last change under the prefix
+     * @param prefix the key prefix
+     * @param version the version of the sender's view
+     * @param needsWhole whether a difference did not apply, so that the whole view is needed
      */
-    record StoreProgress(String prefix, long revision) implements PeerMessage {}
+    record ViewHeld(String prefix, ViewVersion version, boolean needsWhole) implements PeerMessage {}
+
+    /**
+     * Carries what the receiver lacks of the controller's view of a prefix.
+     *
+     * @param update the update
+     */
+    record ViewUpdated(ViewUpdate update) implements PeerMessage {}
 
     /**
      * Reports that a server was lost while it ran a request, which may have crashed it.
@@ -348,19 +357,4 @@
      * @param bornEpochMillis the start of the server's incarnation, in milliseconds since the epoch
      */
     record ServerLeaving(String serverId, long bornEpochMillis) implements PeerMessage, FleetNews {}
-
-    /**
-     * Carries the operator's configuration as read by the controller.
-     *
-     * @param revision the store's revision up to which the controller has read
-     * @param table the change that leads to the newest routing table
-     * @param evacuatedDataCentres all data centres that must not receive requests
-     */
-    record OperatorUpdate(long revision, RoutingTableChange table, Set<String> evacuatedDataCentres)
-            implements PeerMessage {
-
-        public OperatorUpdate {
-            evacuatedDataCentres = Set.copyOf(evacuatedDataCentres);
-        }
-    }
 }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/RoutingTable.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/RoutingTable.java
@@ -17,4 +17,9 @@
         routes = List.copyOf(routes);
         services = Map.copyOf(services);
     }
+
+    /** Returns a digest of the routes in their order, the rules and the limits; the same on each router. */
+    public long digest() {
+        return RoutingTableDigest.of(routes, services, limits);
+    }
 }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/SkippedUpdateLog.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/SkippedUpdateLog.java
@@ -1,7 +1,8 @@
-package org.daisyscale.router.internal.serving;
+package org.daisyscale.router.internal.following;
 
 import java.util.EnumSet;
 import java.util.Set;
+import org.daisyscale.core.following.UpdateResult;
 import org.daisyscale.router.internal.log.EventReporter;
 
 /**
@@ -10,25 +11,25 @@
  * router has caught up. Not thread-safe; confined to one thread.
  */
 final class SkippedUpdateLog {
+    private static final String SKIPPED_EVENT = "view-update-skipped";
+    private static final String CAUGHT_UP_EVENT = "view-caught-up";
+
     private final EventReporter log;
-    private final String skippedEvent;
-    private final String caughtUpEvent;
+    private final String prefix;
     private final Set<UpdateResult> reportedReasons = EnumSet.noneOf(UpdateResult.class);
     private long reportedHeld;
     private long unreportedCount;
 
-    /** Creates the log. {@code skippedEvent} and {@code caughtUpEvent} are the names of its events. */
-    SkippedUpdateLog(EventReporter log, String skippedEvent, String caughtUpEvent) {
+    SkippedUpdateLog(EventReporter log, String prefix) {
         this.log = log;
-        this.skippedEvent = skippedEvent;
-        this.caughtUpEvent = caughtUpEvent;
+        this.prefix = prefix;
     }
 
     /**
      * Records that an update was skipped.
      *
      * @param reason why it was skipped
-     * @param held the version or revision that is held here instead
+     * @param held the digest of what is held here instead
      * @param detail the circumstances
      */
     void recordSkipped(UpdateResult reason, long held, String detail) {
@@ -38,7 +39,9 @@
         }
         if (reportedReasons.add(reason)) {
             log.report(
-                    skippedEvent, "%s reason=%s skippedBefore=%d".formatted(detail, reason.label(), unreportedCount));
+                    SKIPPED_EVENT,
+                    "prefix=%s %s reason=%s skippedBefore=%d"
+                            .formatted(prefix, detail, reason.label(), unreportedCount));
             unreportedCount = 0;
         } else {
             unreportedCount++;
@@ -48,7 +51,7 @@
     /** Records that what is held here is complete again; {@code detail} says what that is. */
     void recordCaughtUp(String detail) {
         if (unreportedCount > 0) {
-            log.report(caughtUpEvent, detail + " skippedBefore=" + unreportedCount);
+            log.report(CAUGHT_UP_EVENT, "prefix=%s %s skippedBefore=%d".formatted(prefix, detail, unreportedCount));
             unreportedCount = 0;
         }
     }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/StoreReachability.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/StoreReachability.java
@@ -1,5 +1,6 @@
-package org.daisyscale.router.internal.serving;
+package org.daisyscale.router.internal.following;
 
+import java.util.function.LongSupplier;
 import org.daisyscale.router.internal.log.EventLog;
 import org.daisyscale.router.serving.StoreException;
 
@@ -8,13 +9,15 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final String prefix;
+    private final LongSupplier clockNanos;
     private boolean isUnreachable;
     private long unreachableSinceNanos;
     private long lastOutageMillis;
     private long recoveredNanos;
 
-    StoreReachability(String prefix) {
+    StoreReachability(String prefix, LongSupplier clockNanos) {
         this.prefix = prefix;
+        this.clockNanos = clockNanos;
     }
 
     boolean isUnreachable() {
@@ -31,7 +34,7 @@
     void recordFailure(StoreException failure, long revision, long ageMillis) {
         if (!isUnreachable) {
             isUnreachable = true;
-            unreachableSinceNanos = System.nanoTime() - ageMillis * NANOS_PER_MILLI;
+            unreachableSinceNanos = clockNanos.getAsLong() - ageMillis * NANOS_PER_MILLI;
             EventLog.warn("store-lost", "prefix=" + prefix + " revision=" + revision + " reason=" + failure.detail());
         }
     }
@@ -40,7 +43,7 @@
     void recordResponse(long revision) {
         if (isUnreachable) {
             isUnreachable = false;
-            recoveredNanos = System.nanoTime();
+            recoveredNanos = clockNanos.getAsLong();
             lastOutageMillis = (recoveredNanos - unreachableSinceNanos) / NANOS_PER_MILLI;
             EventLog.info(
                     "store-regained",
@@ -53,6 +56,7 @@
      * outageMillis}.
      */
     boolean hasJustRecovered(long outageMillis, long graceMillis) {
-        return lastOutageMillis >= outageMillis && System.nanoTime() - recoveredNanos < graceMillis * NANOS_PER_MILLI;
+        return lastOutageMillis >= outageMillis
+                && clockNanos.getAsLong() - recoveredNanos < graceMillis * NANOS_PER_MILLI;
     }
 }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ViewSourceLog.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/ViewSourceLog.java
@@ -1,6 +1,7 @@
-package org.daisyscale.router.internal.serving;
+package org.daisyscale.router.internal.following;
 
 import java.util.function.LongSupplier;
+import org.daisyscale.core.following.ReadRequest.Reason;
 import org.daisyscale.router.internal.log.EventReporter;
 
 /**
@@ -28,7 +29,7 @@
     /** Records that the duty waits for what the controller sends; {@code revision} is the newest one known here. */
     void recordController(long revision) {
         if (source != Source.CONTROLLER) {
-            change(Source.CONTROLLER, Reason.CONTROLLER_CONFIRMS, revision);
+            change(Source.CONTROLLER, "controller-confirms", false, revision);
         }
     }
 
@@ -41,11 +42,11 @@
     void recordStore(Reason reason, long revision) {
         boolean isFirstFailure = reason == Reason.STORE_FAILED && !hasStoreFailed;
         if (source != Source.STORE || isFirstFailure) {
-            change(Source.STORE, reason, revision);
+            change(Source.STORE, reason.label(), reason == Reason.STORE_FAILED, revision);
         }
     }
 
-    private void change(Source newSource, Reason reason, long revision) {
+    private void change(Source newSource, String reason, boolean hasFailed, long revision) {
         long nowNanos = clockNanos.getAsLong();
         log.report(
                 "view-source-changed",
@@ -53,29 +54,13 @@
                         .formatted(
                                 prefix,
                                 newSource.label,
-                                reason.label,
+                                reason,
                                 revision,
                                 source.label,
                                 (nowNanos - sinceNanos) / NANOS_PER_MILLI));
         source = newSource;
         sinceNanos = nowNanos;
-        hasStoreFailed = reason == Reason.STORE_FAILED;
-    }
-
-    /** Why a duty switched. */
-    enum Reason {
-        CONTROLLER_CONFIRMS("controller-confirms"),
-        CONTROLLER_SILENT("controller-silent"),
-        /** The controller has read further, and what it sent does not reach as far here. */
-        CONTROLLER_AHEAD("controller-ahead"),
-        NOT_LISTED("not-listed"),
-        STORE_FAILED("store-failed");
-
-        private final String label;
-
-        Reason(String label) {
-            this.label = label;
-        }
+        hasStoreFailed = hasFailed;
     }
 
     private enum Source {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/peer/PeerOutbox.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/peer/PeerOutbox.java
@@ -26,9 +26,9 @@
             PeerMessage.KeyMapUpdate.class,
             PeerMessage.KeyMapChanged.class,
             PeerMessage.KeyMapRequest.class,
-            PeerMessage.PrefixChanged.class,
-            PeerMessage.StoreProgress.class,
-            PeerMessage.OperatorUpdate.class);
+            PeerMessage.ViewReport.class,
+            PeerMessage.ViewHeld.class,
+            PeerMessage.ViewUpdated.class);
 
     private final int limit;
     private final Map<Object, PeerMessage> pending = new LinkedHashMap<>();
@@ -95,11 +95,6 @@
                 && first.change().isFollowedBy(second.change())) {
             return new PeerMessage.KeyMapChanged(first.change().then(second.change()));
         }
-        if (older instanceof PeerMessage.PrefixChanged first
-                && newer instanceof PeerMessage.PrefixChanged second
-                && first.change().isFollowedBy(second.change())) {
-            return new PeerMessage.PrefixChanged(first.change().then(second.change()));
-        }
         return newer;
     }
 
@@ -117,15 +112,17 @@
             return new NamedKey(
                     PeerMessage.KeyMapChanged.class, changed.change().service());
         }
-        if (message instanceof PeerMessage.PrefixChanged changed) {
-            return new NamedKey(
-                    PeerMessage.PrefixChanged.class, changed.change().prefix());
+        if (message instanceof PeerMessage.ViewUpdated updated) {
+            return new NamedKey(PeerMessage.ViewUpdated.class, updated.update().prefix());
+        }
+        if (message instanceof PeerMessage.ViewHeld held) {
+            return new NamedKey(PeerMessage.ViewHeld.class, held.prefix());
         }
         if (message instanceof PeerMessage.KeyMapRequest request) {
             return new NamedKey(PeerMessage.KeyMapRequest.class, request.service());
         }
-        if (message instanceof PeerMessage.StoreProgress progress) {
-            return new NamedKey(PeerMessage.StoreProgress.class, progress.prefix());
+        if (message instanceof PeerMessage.ViewReport report) {
+            return new NamedKey(PeerMessage.ViewReport.class, report.prefix());
         }
         return message.getClass();
     }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
@@ -1,27 +1,26 @@
 package org.daisyscale.router.internal.serving;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import org.daisyscale.codec.peer.PeerCodec;
 import org.daisyscale.core.Action;
 import org.daisyscale.core.Event;
+import org.daisyscale.core.following.Teller;
 import org.daisyscale.core.keys.KeyEvent;
 import org.daisyscale.core.keys.KeyLoad;
 import org.daisyscale.core.peer.PeerMessage;
-import org.daisyscale.core.peer.PeerMessage.OperatorUpdate;
-import org.daisyscale.core.platform.PrefixChange;
 import org.daisyscale.core.serving.FleetNews;
 import org.daisyscale.core.serving.KeyMap;
 import org.daisyscale.core.serving.KeyMapChange;
 import org.daisyscale.core.serving.ServingEvent;
 import org.daisyscale.router.internal.duty.DutyThread;
+import org.daisyscale.router.internal.following.FollowEvent;
+import org.daisyscale.router.internal.following.FollowPeers;
 import org.daisyscale.router.internal.log.EventLog;
 import org.daisyscale.router.internal.log.EventReporter;
 import org.daisyscale.router.internal.peer.PeerException;
@@ -36,88 +35,66 @@
  * Connects each router with the controller of the keys: routers send their key loads to the controller, and the
  * controller sends them the key maps and what it reads in the store. Messages without a connection are dropped: the
  * next load report repeats the content, the key maps are sent when a connection opens, and a router that misses a
- * change of the store reads it itself. Thread-safe.
+ * change of the store says what it holds and is sent the difference. Thread-safe.
  */
-final class ControllerLink implements AutoCloseable {
+final class ControllerLink implements FollowPeers, AutoCloseable {
     private static final int RING_CAPACITY = 256;
-    /** Capacity of the rings of changes; a router that misses one reads the store instead. */
-    private static final int CHANGE_RING_CAPACITY = 64;
-
     private static final Duration MAX_WAIT = Duration.ofSeconds(1);
 
     private final String routerId;
     private final Address address;
     private final Consumer<ServingEvent> servingEvents;
     private final Consumer<KeyEvent> keyEvents;
-    private final Ring<ControllerUpdate> operatorUpdates;
     private final EventReporter log;
-    private final PublishedUpdateLog publishedUpdates;
     private final Ring<Event> peerEvents = new ArrayRing<>("peer-events", RING_CAPACITY);
-    private final List<ConfirmedWatchGuard> watchGuards = new ArrayList<>();
     private final Map<String, RouterEntry> routerById = new HashMap<>();
     /** The newest key maps that {@link #mapPublisher} published; changes of another router don't apply to them. */
     private final Map<String, KeyMap> mapByService = new HashMap<>();
 
-    private final Map<String, Ring<PrefixChange>> changesByPrefix = new HashMap<>();
-    private final Set<String> connectedPeers = new HashSet<>();
+    /** The events of the duties that follow the store, by prefix. */
+    private final Map<String, Ring<FollowEvent>> inboxByPrefix = new ConcurrentHashMap<>();
+    /** The connected routers, and the number of the connection to each. */
+    private final Map<String, Long> connectionByPeer = new ConcurrentHashMap<>();
+
     private volatile PeerNetwork network;
     private DutyThread reader;
     private volatile RouterEntry controller;
-    private OperatorUpdate lastUpdate;
     private String mapPublisher = "";
+    private long connectionCount;
 
     ControllerLink(
             String routerId,
             Address address,
             Consumer<ServingEvent> servingEvents,
             Consumer<KeyEvent> keyEvents,
-            Ring<ControllerUpdate> operatorUpdates,
             EventReporter log) {
         this.routerId = routerId;
         this.address = address;
         this.servingEvents = servingEvents;
         this.keyEvents = keyEvents;
-        this.operatorUpdates = operatorUpdates;
         this.log = log;
-        this.publishedUpdates = new PublishedUpdateLog(log);
     }
 
-    /** Adds a guard that receives the progress of the controller. */
-    synchronized void add(ConfirmedWatchGuard guard) {
-        watchGuards.add(guard);
+    /** Adds the ring that receives what other routers say about {@code prefix}; events that find it full are lost. */
+    void follow(String prefix, Ring<FollowEvent> inbox) {
+        inboxByPrefix.put(prefix, inbox);
     }
 
-    /** Sends to all routers how far the controller has read the store; does nothing on other routers. */
-    synchronized void publish(PeerMessage.StoreProgress progress) {
-        if (isController()) {
-            connectedPeers.forEach(peer -> send(peer, progress));
-        }
-    }
-
-    /** Sends to all routers what changed under a prefix of the store; does nothing on other routers. */
-    synchronized void publish(PrefixChange change) {
-        if (isController()) {
-            PeerMessage message = new PeerMessage.PrefixChanged(change);
-            connectedPeers.forEach(peer -> send(peer, message));
+    @Override
+    public int broadcast(PeerMessage message) {
+        if (!isController()) {
+            return 0;
         }
+        Set<String> peers = connectionByPeer.keySet();
+        peers.forEach(peer -> send(peer, message));
+        return peers.size();
     }
 
-    /** Returns the ring of what the controller reports about {@code prefix}. Must be called before any report. */
-    synchronized Ring<PrefixChange> changesOf(String prefix) {
-        return changesByPrefix.computeIfAbsent(
-                prefix, name -> new ArrayRing<>("changes-" + name, CHANGE_RING_CAPACITY));
-    }
-
-    /**
-     * Sends to all routers what operators wrote, once per update; does nothing on other routers than the controller.
-     */
-    synchronized void publish(OperatorUpdate update) {
-        if (!isController()) {
-            publishedUpdates.recordNotController(update);
-        } else if (!update.equals(lastUpdate)) {
-            lastUpdate = update;
-            connectedPeers.forEach(peer -> send(peer, update));
-            publishedUpdates.recordSent(update, connectedPeers.size());
+    @Override
+    public void send(String routerId, PeerMessage message) {
+        PeerNetwork link = network;
+        if (link != null) {
+            link.send(new Action.SendPeer(routerId, message));
         }
     }
 
@@ -144,7 +121,6 @@
         log.report("controller-seen", "controller=" + newController);
         controller = newController;
         mapByService.clear();
-        lastUpdate = null;
         updateWantedPeers();
     }
 
@@ -177,14 +153,15 @@
         network.updatePeer(new Action.KnowPeer(controller.routerId(), controller.host(), controller.port()));
     }
 
-    /** Returns whether this router controls the keys, as far as it knows. */
-    synchronized boolean isController() {
+    /** Returns whether this router controls the keys, as far as it knows. Takes no lock, see {@link #report}. */
+    @Override
+    public boolean isController() {
         return isControlledBy(routerId);
     }
 
     /** Returns whether this router receives each change of the key maps, as the controller or from it. */
     synchronized boolean isReceivingKeyMaps() {
-        return controller != null && (isController() || connectedPeers.contains(controller.routerId()));
+        return controller != null && (isController() || connectionByPeer.containsKey(controller.routerId()));
     }
 
     /**
@@ -229,7 +206,9 @@
             keyEvents.accept(new KeyEvent.FleetChanged(new ServingEvent.NewsReceived(news)));
         }
         if (isController()) {
-            connectedPeers.stream().filter(peer -> !peer.equals(from)).forEach(peer -> send(peer, message));
+            connectionByPeer.keySet().stream()
+                    .filter(peer -> !peer.equals(from))
+                    .forEach(peer -> send(peer, message));
         }
     }
 
@@ -240,11 +219,7 @@
         PeerMessage update = last == null
                 ? new PeerMessage.KeyMapUpdate(map)
                 : new PeerMessage.KeyMapChanged(KeyMapChange.between(last, map));
-        connectedPeers.forEach(peer -> send(peer, update));
-    }
-
-    private void send(String peer, PeerMessage message) {
-        network.send(new Action.SendPeer(peer, message));
+        connectionByPeer.keySet().forEach(peer -> send(peer, update));
     }
 
     private void pollPeerEvents() throws InterruptedException {
@@ -253,29 +228,21 @@
 
     private synchronized void handle(Event event) {
         if (event instanceof Event.PeerConnected up) {
-            connectedPeers.add(up.peer());
-            OperatorUpdate update = isController() ? lastUpdate : null;
-            log.report("peer-connected", "peer=" + up.peer() + sentDetail(update));
-            if (update != null) {
-                send(up.peer(), update);
-            }
+            connectionCount++;
+            connectionByPeer.put(up.peer(), connectionCount);
+            log.report("peer-connected", "peer=" + up.peer());
             if (isController()) {
                 mapsOf(routerId).values().forEach(map -> send(up.peer(), new PeerMessage.KeyMapUpdate(map)));
             }
         } else if (event instanceof Event.PeerDisconnected down) {
-            connectedPeers.remove(down.peer());
+            connectionByPeer.remove(down.peer());
             log.report("peer-lost", "peer=" + down.peer());
+            inboxByPrefix.keySet().forEach(prefix -> offer(prefix, new FollowEvent.FollowerLost(down.peer())));
         } else if (event instanceof Event.PeerMessageReceived received) {
             handle(received.from(), received.message());
         }
     }
 
-    private static String sentDetail(OperatorUpdate update) {
-        return update == null
-                ? ""
-                : " sentVersion=%d sentRevision=%d".formatted(update.table().version(), update.revision());
-    }
-
     private void handle(String from, PeerMessage message) {
         if (message instanceof PeerMessage.KeyLoadReport report) {
             keyEvents.accept(new KeyEvent.LoadReported(report.load()));
@@ -289,19 +256,20 @@
         } else if (message instanceof PeerMessage.KeyMapRequest request && mapPublisher.equals(routerId)) {
             Optional.ofNullable(mapByService.get(request.service()))
                     .ifPresent(map -> send(from, new PeerMessage.KeyMapUpdate(map)));
-        } else if (isControlledBy(from)) {
-            handleProgress(from, message);
+        } else {
+            handleView(from, message);
         }
     }
 
-    private void handleProgress(String from, PeerMessage message) {
-        if (message instanceof PeerMessage.StoreProgress progress) {
-            watchGuards.forEach(guard -> guard.confirm(progress));
-        } else if (message instanceof OperatorUpdate update) {
-            offer(operatorUpdates, new ControllerUpdate(from, update));
-        } else if (message instanceof PeerMessage.PrefixChanged changed) {
-            Optional.ofNullable(changesByPrefix.get(changed.change().prefix()))
-                    .ifPresent(ring -> offer(ring, changed.change()));
+    /** Passes on what another router says about a view; only the controller is believed to have just read the store. */
+    private void handleView(String from, PeerMessage message) {
+        if (message instanceof PeerMessage.ViewHeld held) {
+            offer(held.prefix(), new FollowEvent.Held(from, held.version(), held.needsWhole()));
+        } else if (message instanceof PeerMessage.ViewReport report && isControlledBy(from)) {
+            Teller teller = new Teller(from, connectionByPeer.getOrDefault(from, 0L));
+            offer(report.prefix(), new FollowEvent.Reported(teller, report.version()));
+        } else if (message instanceof PeerMessage.ViewUpdated updated && isControlledBy(from)) {
+            offer(updated.update().prefix(), new FollowEvent.Updated(from, updated.update()));
         }
     }
 
@@ -325,18 +293,19 @@
         }
     }
 
-    /**
-     * Queues {@code update}; when the ring is full, drops it. This router is then behind the controller and reads the
-     * store instead.
-     */
-    private <T> void offer(Ring<T> ring, T update) {
-        if (!ring.offer(update)) {
-            log.report("controller-update-dropped", "ring=" + ring.name());
+    /** Queues {@code event}; when the ring is full, drops it: what is missed is noticed and asked for later. */
+    private void offer(String prefix, FollowEvent event) {
+        Ring<FollowEvent> inbox = inboxByPrefix.get(prefix);
+        if (inbox != null && !inbox.offer(event)) {
+            log.report(
+                    "view-event-dropped",
+                    "prefix=" + prefix + " event=" + event.getClass().getSimpleName());
         }
     }
 
     private boolean isControlledBy(String peer) {
-        return controller != null && controller.routerId().equals(peer);
+        RouterEntry known = controller;
+        return known != null && known.routerId().equals(peer);
     }
 
     @Override
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetListeners.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetListeners.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.daisyscale.core.following.ViewListener;
 import org.daisyscale.core.keys.KeyEvent;
 import org.daisyscale.core.platform.CoordinationStore.Item;
 import org.daisyscale.core.serving.BackendServer;
@@ -45,8 +46,8 @@
     }
 
     /** Creates a listener for the items that servers write. */
-    FleetWatchDuty.Listener createServerListener() {
-        return new FleetWatchDuty.Listener() {
+    ViewListener createServerListener() {
+        return new ViewListener() {
             @Override
             public void onWritten(Item item, long maxAgeMillis) {
                 decoder.server(item)
@@ -66,7 +67,7 @@
             }
 
             @Override
-            public void onListed() {
+            public void onComplete() {
                 readiness.markServersKnown();
             }
         };
@@ -78,10 +79,10 @@
     }
 
     /** Creates a listener for the items that routers write. */
-    FleetWatchDuty.Listener createRouterListener(String ownId, LeaseDuty lease, ControllerLink controller) {
+    ViewListener createRouterListener(String ownId, LeaseDuty lease, ControllerLink controller) {
         Set<String> routerIds = new HashSet<>(Set.of(ownId));
         Map<String, Double> coresByRouter = new HashMap<>();
-        return new FleetWatchDuty.Listener() {
+        return new ViewListener() {
             private boolean isControlled;
             private boolean hasSecret;
 
@@ -125,7 +126,7 @@
             }
 
             @Override
-            public void onListed() {
+            public void onComplete() {
                 lease.recordStoreState(isControlled, !hasSecret);
                 readiness.markRoutersKnown();
             }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorState.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorState.java
@@ -5,11 +5,21 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.daisyscale.core.peer.PeerMessage.OperatorUpdate;
+import org.daisyscale.core.following.ItemDigest;
+import org.daisyscale.core.following.ItemView;
+import org.daisyscale.core.following.ReadCircumstances;
+import org.daisyscale.core.following.TableUpdate;
+import org.daisyscale.core.following.UpdateResult;
+import org.daisyscale.core.following.ViewContents;
+import org.daisyscale.core.following.ViewListener;
+import org.daisyscale.core.following.ViewUpdate;
+import org.daisyscale.core.following.ViewVersion;
+import org.daisyscale.core.platform.CoordinationStore.Changes;
 import org.daisyscale.core.platform.CoordinationStore.Item;
-import org.daisyscale.core.platform.CoordinationStore.ItemChange;
+import org.daisyscale.core.platform.CoordinationStore.Listing;
 import org.daisyscale.core.serving.ConfigurationSource;
 import org.daisyscale.core.serving.RoutingTable;
+import org.daisyscale.core.serving.RoutingTableChange;
 import org.daisyscale.core.serving.RoutingTableHistory;
 import org.daisyscale.core.serving.ServingEvent;
 import org.daisyscale.router.internal.log.EventLog;
@@ -17,126 +27,212 @@
 
 /**
  * What operators wrote, as far as this router knows it: the newest configuration and the evacuated data centres. The
- * version of the configuration never decreases. Not thread-safe; confined to one thread.
+ * version of the configuration never decreases. Other routers are sent routes instead of the configuration's text. Not
+ * thread-safe; confined to one thread.
  */
-final class OperatorState {
+final class OperatorState implements ViewContents {
+    /** Stands for the routing table in the digest; a configuration that can't be decoded leaves the older table. */
+    private static final String TABLE_KEY = "routing-table";
+
+    private static final byte[] NO_VALUE = new byte[0];
+
+    private final String prefix;
     private final FleetDecoder decoder;
     private final Consumer<ServingEvent> events;
     private final Readiness readiness;
+    private final ItemView items;
     private final RoutingTableHistory history = new RoutingTableHistory();
+    private final Set<String> dataCentres = new HashSet<>();
     private RoutingTable table;
     private long tableRevision;
     private Set<String> evacuatedDataCentres = Set.of();
 
     OperatorState(FleetDecoder decoder, Consumer<ServingEvent> events, Readiness readiness) {
+        this.prefix = decoder.operatorPrefix();
         this.decoder = decoder;
         this.events = events;
         this.readiness = readiness;
+        this.items = new ItemView(prefix, new ItemListener());
+    }
+
+    @Override
+    public ViewVersion version() {
+        ViewVersion itemsVersion = items.version();
+        return new ViewVersion(itemsVersion.revision(), itemsVersion.digest() + tableDigest(tableRevision));
     }
 
-    /** Applies a complete listing of the items of operators. */
-    void applyListing(List<Item> items) {
-        Set<String> dataCentres = new HashSet<>();
-        for (Item item : items) {
-            decoder.evacuatedDataCentre(item.key()).ifPresent(dataCentres::add);
-            readTable(item);
+    private static long tableDigest(long revision) {
+        return revision == 0 ? 0 : ItemDigest.of(TABLE_KEY, revision);
+    }
+
+    @Override
+    public void applyListing(Listing listing, ReadCircumstances circumstances) {
+        items.applyListing(listing, new ReadCircumstances(circumstances.maxAgeMillis(), false));
+    }
+
+    @Override
+    public void applyChanges(Changes changes, ReadCircumstances circumstances) {
+        items.applyChanges(changes, new ReadCircumstances(circumstances.maxAgeMillis(), false));
+    }
+
+    @Override
+    public UpdateResult applyUpdate(ViewUpdate update, String controllerId, long maxAgeMillis) {
+        ViewUpdate itemsUpdate = withoutTable(update);
+        UpdateResult result = check(update, itemsUpdate);
+        if (result == UpdateResult.APPLIED) {
+            update.tables().forEach(change -> applyTableUpdate(change, controllerId));
+            items.applyUpdate(itemsUpdate, controllerId, maxAgeMillis);
         }
-        setEvacuated(dataCentres);
-        readiness.markOperatorsKnown();
+        return result;
     }
 
-    /** Applies {@code changes} in their order; of several versions of an item only the last one is read. */
-    void applyChanges(List<ItemChange> changes) {
-        Set<String> dataCentres = new HashSet<>(evacuatedDataCentres);
-        for (ItemChange change : changes) {
-            decoder.evacuatedDataCentre(change.key())
-                    .ifPresent(dataCentre ->
-                            addOrRemove(dataCentres, dataCentre, change.item().isPresent()));
+    private UpdateResult check(ViewUpdate update, ViewUpdate itemsUpdate) {
+        if (table == null && !update.isWhole()) {
+            return UpdateResult.NO_CONFIGURATION;
         }
-        for (int index = 0; index < changes.size(); index++) {
-            ItemChange change = changes.get(index);
-            if (isLastOfItem(change, changes.subList(index + 1, changes.size()))) {
-                change.item().ifPresent(this::readTable);
-            }
+        if (table != null && update.isWhole() && update.tables().isEmpty()) {
+            return UpdateResult.OLDER;
+        }
+        UpdateResult result = items.check(itemsUpdate);
+        boolean lacksOnlyTable = itemsUpdate.version().hasSameItems(items.version()) && !isTableHeld(update);
+        boolean isUsable = result == UpdateResult.APPLIED || lacksOnlyTable;
+        if (!isUsable) {
+            return result;
         }
-        setEvacuated(dataCentres);
+        return update.tables().stream().allMatch(this::appliesHere)
+                ? UpdateResult.APPLIED
+                : UpdateResult.DOES_NOT_APPLY;
     }
 
-    private static boolean isLastOfItem(ItemChange change, List<ItemChange> later) {
-        return later.stream().noneMatch(other -> other.key().equals(change.key()));
+    private boolean isTableHeld(ViewUpdate update) {
+        return update.tables().stream().allMatch(change -> change.revision() <= tableRevision);
     }
 
-    private static void addOrRemove(Set<String> dataCentres, String dataCentre, boolean isEvacuated) {
-        if (isEvacuated) {
-            dataCentres.add(dataCentre);
-        } else {
-            dataCentres.remove(dataCentre);
+    private boolean appliesHere(TableUpdate update) {
+        RoutingTableChange change = update.change();
+        if (table == null) {
+            return change.isCompleteTable();
         }
+        return change.version() <= table.version() || change.appliesTo(table);
     }
 
-    /** Returns the version of the configuration that is known here; 0 for none. */
-    long version() {
-        return table == null ? 0 : table.version();
+    /** Returns the part of {@code update} that concerns the items alone. */
+    private ViewUpdate withoutTable(ViewUpdate update) {
+        long heldRevision = update.isWhole() ? 0 : tableRevision;
+        long newerRevision = update.tables().stream()
+                .mapToLong(TableUpdate::revision)
+                .findFirst()
+                .orElse(heldRevision);
+        ViewVersion version =
+                new ViewVersion(update.version().revision(), update.version().digest() - tableDigest(newerRevision));
+        return new ViewUpdate(
+                update.prefix(), version, update.isWhole(), update.written(), update.removedKeys(), List.of());
     }
 
-    /** Applies an update of the controller if it can be applied to the table that is known here. */
-    UpdateResult applyUpdate(ControllerUpdate received) {
-        OperatorUpdate update = received.update();
-        if (table == null) {
-            return UpdateResult.NO_CONFIGURATION;
-        }
-        if (table.version() < update.table().version()) {
-            if (!update.table().appliesTo(table)) {
-                return UpdateResult.DOES_NOT_APPLY;
-            }
+    private void applyTableUpdate(TableUpdate update, String controllerId) {
+        RoutingTableChange change = update.change();
+        if (table == null || change.version() > table.version()) {
             EventLog.info(
                     "configuration-told",
-                    "version=%d from=%d revision=%d"
-                            .formatted(update.table().version(), table.version(), update.revision()));
-            applyTable(update.table().applyTo(table), received.source());
+                    "version=%d from=%d revision=%d isWhole=%s"
+                            .formatted(change.version(), heldVersion(), update.revision(), change.isWhole()));
+            RoutingTable newer = table == null ? change.toTable() : change.applyTo(table);
+            applyTable(newer, update.revision(), ConfigurationSource.fromController(controllerId, update.revision()));
         }
-        setEvacuated(update.evacuatedDataCentres());
-        return UpdateResult.APPLIED;
+        tableRevision = Math.max(tableRevision, update.revision());
     }
 
-    /**
-     * Creates the update that the controller sends, with {@code revision} as that of the last change; empty without a
-     * configuration.
-     */
-    Optional<OperatorUpdate> createUpdate(long revision) {
-        if (table == null) {
-            return Optional.empty();
-        }
-        history.add(table);
-        return Optional.of(new OperatorUpdate(revision, history.change(), evacuatedDataCentres));
+    private long heldVersion() {
+        return table == null ? 0 : table.version();
+    }
+
+    @Override
+    public void confirm(long revision) {
+        items.confirm(revision);
+    }
+
+    @Override
+    public boolean canBeTold() {
+        return table != null;
     }
 
-    private void readTable(Item item) {
-        if (item.revision() <= tableRevision) {
-            return;
+    @Override
+    public ViewUpdate updateFrom(ViewVersion held, boolean isWhole) {
+        ViewUpdate update = items.updateFrom(held, isWhole);
+        List<Item> written = update.written().stream()
+                .map(item -> new Item(item.key(), NO_VALUE, item.revision()))
+                .toList();
+        return new ViewUpdate(
+                prefix, version(), update.isWhole(), written, update.removedKeys(), tables(held, update.isWhole()));
+    }
+
+    private List<TableUpdate> tables(ViewVersion held, boolean isWhole) {
+        if (table == null || (!isWhole && tableRevision < held.revision())) {
+            return List.of();
         }
-        decoder.table(item).ifPresent(read -> {
-            tableRevision = item.revision();
-            EventLog.info(
-                    "configuration-seen",
-                    "version=%d revision=%d bytes=%d".formatted(read.version(), item.revision(), item.value().length));
-            applyTable(read, ConfigurationSource.fromStore(item.revision()));
-        });
+        Optional<RoutingTableChange> change = isWhole ? Optional.empty() : history.changeFrom(held.revision());
+        return List.of(new TableUpdate(tableRevision, change.orElseGet(() -> RoutingTableChange.whole(table))));
     }
 
-    private void applyTable(RoutingTable newer, ConfigurationSource source) {
+    @Override
+    public void removeLapsed() {
+        items.removeLapsed();
+    }
+
+    @Override
+    public boolean hasLapsed() {
+        return items.hasLapsed();
+    }
+
+    @Override
+    public String describe() {
+        return "version=%d revision=%d evacuated=%d"
+                .formatted(heldVersion(), items.version().revision(), evacuatedDataCentres.size());
+    }
+
+    private void applyTable(RoutingTable newer, long revision, ConfigurationSource source) {
         if (table == null || newer.version() > table.version()) {
             table = newer;
+            history.add(newer, revision);
             events.accept(new ServingEvent.TableChanged(newer, source));
             readiness.markTableKnown();
         }
     }
 
-    private void setEvacuated(Set<String> dataCentres) {
-        if (!dataCentres.equals(evacuatedDataCentres)) {
-            evacuatedDataCentres = Set.copyOf(dataCentres);
-            EventLog.info("evacuation-seen", "dataCentres=" + evacuatedDataCentres);
-            events.accept(new ServingEvent.EvacuationsChanged(evacuatedDataCentres));
+    /** Follows the items; of a configuration only the text in the store is decoded. */
+    private final class ItemListener implements ViewListener {
+
+        @Override
+        public void onWritten(Item item, long maxAgeMillis) {
+            Optional<String> dataCentre = decoder.evacuatedDataCentre(item.key());
+            if (dataCentre.isPresent()) {
+                dataCentres.add(dataCentre.get());
+            } else if (item.value().length > 0 && item.revision() > tableRevision) {
+                decoder.table(item).ifPresent(read -> handleRead(item, read));
+            }
+        }
+
+        private void handleRead(Item item, RoutingTable read) {
+            tableRevision = item.revision();
+            EventLog.info(
+                    "configuration-seen",
+                    "version=%d revision=%d bytes=%d".formatted(read.version(), item.revision(), item.value().length));
+            applyTable(read, item.revision(), ConfigurationSource.fromStore(item.revision()));
+        }
+
+        @Override
+        public void onRemoved(String key) {
+            decoder.evacuatedDataCentre(key).ifPresent(dataCentres::remove);
+        }
+
+        @Override
+        public void onComplete() {
+            if (!dataCentres.equals(evacuatedDataCentres)) {
+                evacuatedDataCentres = Set.copyOf(dataCentres);
+                EventLog.info("evacuation-seen", "dataCentres=" + evacuatedDataCentres);
+                events.accept(new ServingEvent.EvacuationsChanged(evacuatedDataCentres));
+            }
+            readiness.markOperatorsKnown();
         }
     }
 }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -1,8 +1,12 @@
 package org.daisyscale.router.internal.serving;
 
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
-import java.util.function.LongConsumer;
+import org.daisyscale.core.following.ItemView;
+import org.daisyscale.core.following.ViewContents;
+import org.daisyscale.core.following.ViewFollower;
+import org.daisyscale.core.following.ViewListener;
 import org.daisyscale.core.keys.KeyAction;
 import org.daisyscale.core.keys.KeyController;
 import org.daisyscale.core.keys.KeyEvent;
@@ -12,6 +16,10 @@
 import org.daisyscale.router.internal.assembly.StopSignal;
 import org.daisyscale.router.internal.duty.DutyThread;
 import org.daisyscale.router.internal.error.ShellException;
+import org.daisyscale.router.internal.following.FollowDuty;
+import org.daisyscale.router.internal.following.FollowEvent;
+import org.daisyscale.router.internal.following.FollowReports;
+import org.daisyscale.router.internal.following.FollowedPrefix;
 import org.daisyscale.router.internal.log.EventLog;
 import org.daisyscale.router.internal.request.ByteBudget;
 import org.daisyscale.router.internal.ring.ArrayRing;
@@ -25,8 +33,8 @@
 /** Assembles the duties and runs them until a stop is requested. Not thread-safe; confined to one thread. */
 public final class ServingAssembly {
     private static final int RING_CAPACITY = 4_096;
-    /** Capacity of the ring of operator updates; each update includes the changes of the ones before it. */
-    private static final int UPDATE_RING_CAPACITY = 16;
+    /** Capacity of the ring of each duty that follows the store; a lost event is made up for, see ViewFollower. */
+    private static final int FOLLOW_RING_CAPACITY = 256;
 
     /**
      * Limit of all buffered request bodies together, in bytes: a quarter of the memory that a router gets on the
@@ -56,7 +64,6 @@
     private final CallerConnections connections = new CallerConnections();
     private final Ring<ServingEvent> servingEvents = new ArrayRing<>("decisions", RING_CAPACITY);
     private final Ring<KeyEvent> keyEvents = new ArrayRing<>("keys", RING_CAPACITY);
-    private final Ring<ControllerUpdate> operatorUpdates = new ArrayRing<>("operator-updates", UPDATE_RING_CAPACITY);
     private final Ring<KeyAction> mapActions = new ArrayRing<>("key-maps", RING_CAPACITY);
 
     /** Creates the assembly without starting it. */
@@ -79,7 +86,6 @@
                         settings.peers(),
                         blockingPut(servingEvents),
                         this::offerKeyEvent,
-                        operatorUpdates,
                         EventLog::info)) {
             CoordinationStore store =
                     new CountedStore(new StoreClient(loop, settings.store(), dialect.store()), metrics);
@@ -88,19 +94,9 @@
                     new FleetListeners(dialect.fleet(), blockingPut(servingEvents), blockingPut(keyEvents), readiness);
             try (DutyThread decisions = DutyThread.start("decisions", createServingDuty(loop, controller)::runStep);
                     DutyThread keys = DutyThread.start("keys", createKeyDuty(loop, controller)::runStep);
-                    DutyThread operators = startOperatorWatch(store, controller, listeners.createOperatorState());
-                    DutyThread servers = startFleetWatch(
-                            store,
-                            dialect.fleet().serverPrefix(),
-                            controller,
-                            listeners.createServerListener(),
-                            nanos -> {});
-                    DutyThread routers = startFleetWatch(
-                            store,
-                            StoreKeys.PREFIX,
-                            controller,
-                            listeners.createRouterListener(settings.serving().routerId(), lease, controller),
-                            nanos -> listeners.confirmRouters());
+                    FollowedPrefix operators = followOperators(store, controller, listeners);
+                    FollowedPrefix servers = followServers(store, controller, listeners);
+                    FollowedPrefix routers = followRouters(store, controller, listeners, lease);
                     DutyThread leases = DutyThread.start("lease", lease::runStep);
                     DutyThread polls = DutyThread.start(
                             "key-map-polls",
@@ -167,50 +163,53 @@
         return new KeyDuty(controller, keyEvents, mapActions, link, loop, dialect.backends(), metrics);
     }
 
-    private DutyThread startFleetWatch(
-            CoordinationStore store,
-            String prefix,
-            ControllerLink controller,
-            FleetWatchDuty.Listener listener,
-            LongConsumer onCurrent) {
-        ConfirmedWatchGuard guard = createGuard(prefix, controller, onCurrent);
-        FleetWatchDuty duty = new FleetWatchDuty(
-                store,
-                prefix,
-                guard,
-                CHANGE_BATCH_MILLIS,
-                controller.changesOf(prefix),
-                controller::publish,
-                listener,
-                reports(prefix));
-        return DutyThread.start("watch-" + prefix, duty::runStep);
+    private FollowedPrefix followOperators(
+            CoordinationStore store, ControllerLink controller, FleetListeners listeners) {
+        OperatorState state = listeners.createOperatorState();
+        return follow(store, dialect.fleet().operatorPrefix(), controller, state, true, this::offerConfirmation);
     }
 
-    private DutyThread startOperatorWatch(CoordinationStore store, ControllerLink controller, OperatorState state) {
-        String prefix = dialect.fleet().operatorPrefix();
-        ConfirmedWatchGuard guard = createGuard(prefix, controller, this::offerConfirmation);
-        OperatorWatchDuty duty = new OperatorWatchDuty(
-                store,
-                prefix,
-                guard,
-                CHANGE_BATCH_MILLIS,
-                operatorUpdates,
-                state,
-                controller::publish,
-                reports(prefix));
-        return DutyThread.start("watch-" + prefix, duty::runStep);
+    private FollowedPrefix followServers(CoordinationStore store, ControllerLink controller, FleetListeners listeners) {
+        String prefix = dialect.fleet().serverPrefix();
+        ItemView view = new ItemView(prefix, listeners.createServerListener());
+        return follow(store, prefix, controller, view, false, nanos -> {});
     }
 
-    private WatchReports reports(String prefix) {
-        return new WatchReports(EventLog::info, result -> metrics.controllerUpdate(prefix, result));
+    private FollowedPrefix followRouters(
+            CoordinationStore store, ControllerLink controller, FleetListeners listeners, LeaseDuty lease) {
+        ViewListener listener =
+                listeners.createRouterListener(settings.serving().routerId(), lease, controller);
+        ItemView view = new ItemView(StoreKeys.PREFIX, listener);
+        return follow(store, StoreKeys.PREFIX, controller, view, false, nanos -> listeners.confirmRouters());
     }
 
-    private ConfirmedWatchGuard createGuard(String prefix, ControllerLink controller, LongConsumer onCurrent) {
-        ConfirmedWatchGuard guard = new ConfirmedWatchGuard(
-                prefix, controller::publish, controller::isController, onCurrent, System::nanoTime);
-        controller.add(guard);
-        metrics.registerViewAge(prefix, guard::ageMillis);
-        return guard;
+    /**
+     * Starts the duty that follows {@code prefix}.
+     *
+     * @param isListedWhileChanging see {@link ViewFollower}
+     * @param onCurrent receives when the view was last known to lack nothing, by the monotonic clock
+     */
+    private FollowedPrefix follow(
+            CoordinationStore store,
+            String prefix,
+            ControllerLink controller,
+            ViewContents contents,
+            boolean isListedWhileChanging,
+            Consumer<Long> onCurrent) {
+        Ring<FollowEvent> inbox = new ArrayRing<>("follow-" + prefix, FOLLOW_RING_CAPACITY);
+        ViewFollower follower =
+                new ViewFollower(new SplittableRandom(), CHANGE_BATCH_MILLIS, isListedWhileChanging, System.nanoTime());
+        FollowReports reports =
+                new FollowReports(EventLog::info, result -> metrics.controllerUpdate(prefix, result), onCurrent);
+        FollowedPrefix followed = FollowedPrefix.start(
+                store,
+                prefix,
+                inbox,
+                reader -> new FollowDuty(
+                        prefix, contents, follower, inbox, reader, controller, reports, System::nanoTime));
+        controller.follow(prefix, inbox);
+        metrics.registerViewAge(prefix, followed::ageMillis);
+        return followed;
     }
 
     private void answerReadiness(Context context) {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingMetrics.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingMetrics.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
+import org.daisyscale.core.following.UpdateResult;
 import org.daisyscale.router.internal.ring.Ring;
 
 /** The metrics of a router that assigns requests to backend servers itself. Thread-safe. */
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ViewSourceLogTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/following/ViewSourceLogTest.java
@@ -1,4 +1,4 @@
-package org.daisyscale.router.internal.serving;
+package org.daisyscale.router.internal.following;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
