--- /dev/null
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/digest/package-info.java
@@ -0,0 +1,2 @@
+/** Digests by which routers compare what they hold. */
+package org.daisyscale.core.internal.digest;
--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/RoutingTableDigest.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/RoutingTableDigest.java
@@ -2,61 +2,59 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
+import org.daisyscale.core.internal.digest.StableDigest;
 
 /**
  * Digests of routing tables. Equal tables have the same digest on each router; the order of the routes counts.
  * Stateless.
  */
 final class RoutingTableDigest {
-    private static final long FACTOR = 0x9e3779b97f4a7c15L;
-
     private RoutingTableDigest() {}
 
     static long of(List<Route> routes, Map<String, ServiceRules> services, RequestLimits limits) {
-        long digest = of(limits);
-        for (Route route : routes) {
-            digest = digest * FACTOR + of(route);
-        }
-        for (ServiceRules rules : services.values()) {
-            digest += FACTOR * of(rules);
+        StableDigest digest = new StableDigest();
+        add(digest, limits);
+        digest.add(routes.size());
+        routes.forEach(route -> add(digest, route));
+        long rulesDigest = 0;
+        for (Map.Entry<String, ServiceRules> entry : services.entrySet()) {
+            rulesDigest += of(entry.getKey(), entry.getValue());
         }
-        return digest;
+        return digest.add(services.size()).add(rulesDigest).value();
     }
 
-    private static int of(Route route) {
-        int services = 1;
+    private static void add(StableDigest digest, Route route) {
+        digest.add(route.name())
+                .add(route.host())
+                .add(route.pathPrefix())
+                .add(route.isIdempotent())
+                .add(route.timeoutMillis())
+                .add(route.targetLatencyMillis())
+                .add(route.priority())
+                .add(route.maxBackends())
+                .add(route.services().size());
         for (Route.WeightedService service : route.services()) {
-            services = Objects.hash(services, service.service(), service.weight());
+            digest.add(service.service()).add(service.weight());
         }
-        return Objects.hash(
-                route.name(),
-                route.host(),
-                route.pathPrefix(),
-                route.isIdempotent(),
-                route.timeoutMillis(),
-                route.targetLatencyMillis(),
-                route.priority(),
-                route.maxBackends(),
-                services);
     }
 
-    private static int of(ServiceRules rules) {
-        return Objects.hash(
-                rules.name(),
-                rules.healthPath(),
-                rules.maxConnections(),
-                rules.coldStartMillis(),
-                rules.coldRequestsPerSecond(),
-                rules.isSharded(),
-                rules.warmupMillis());
+    private static long of(String name, ServiceRules rules) {
+        return new StableDigest()
+                .add(name)
+                .add(rules.name())
+                .add(rules.healthPath())
+                .add(rules.maxConnections())
+                .add(rules.coldStartMillis())
+                .add(rules.coldRequestsPerSecond())
+                .add(rules.isSharded())
+                .add(rules.warmupMillis())
+                .value();
     }
 
-    private static int of(RequestLimits limits) {
-        return Objects.hash(
-                limits.maxHeaderBytes(),
-                limits.maxBodyBytes(),
-                limits.headerTimeoutMillis(),
-                limits.idleTimeoutMillis());
+    private static void add(StableDigest digest, RequestLimits limits) {
+        digest.add(limits.maxHeaderBytes())
+                .add(limits.maxBodyBytes())
+                .add(limits.headerTimeoutMillis())
+                .add(limits.idleTimeoutMillis());
     }
 }
