ControllerLink: closing doesn't wait for a thread that waits for its lock

Cause: close held the lock while it joined the thread of the peer events, which needs the lock for the events of the closed connections, so each close lasted until the join gave up after 2,000 ms.

--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
@@ -308,11 +308,17 @@
         return known != null && known.routerId().equals(peer);
     }
 
+    /** Stops without the lock, because the thread that is stopped may be waiting for it. */
     @Override
-    public synchronized void close() {
-        if (network != null) {
-            network.close();
-            reader.close();
+    public void close() {
+        PeerNetwork link = network;
+        if (link != null) {
+            link.close();
+            reader().close();
         }
     }
+
+    private synchronized DutyThread reader() {
+        return reader;
+    }
 }
