--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ServingMetricsTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ServingMetricsTest.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.stream.Collectors;
+import org.daisyscale.core.following.UpdateResult;
 import org.daisyscale.core.platform.CoordinationStore;
 import org.daisyscale.router.internal.ring.ArrayRing;
 import org.daisyscale.router.serving.StoreException;
