--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/peer/PeerNetworkTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/peer/PeerNetworkTest.java
@@ -10,6 +10,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.daisyscale.codec.peer.HandshakeCodec;
+import org.daisyscale.codec.peer.HandshakeMessage;
 import org.daisyscale.codec.peer.PeerCodec;
 import org.daisyscale.core.Action;
 import org.daisyscale.core.Event;
@@ -24,6 +26,9 @@
 
 @Timeout(30)
 class PeerNetworkTest {
+    /** Where the envelope of a message has the protocol version. */
+    private static final int VERSION_INDEX = 1;
+
     private static final String HOST = "127.0.0.1";
     private static final Duration WAIT = Duration.ofSeconds(10);
     private static final Duration QUIET = Duration.ofMillis(300);
@@ -120,6 +125,23 @@
         }
     }
 
+    /** Guards against a router of another release whose connection disturbs the others. */
+    @Test
+    void shouldCloseOnlyTheConnectionOfAPeerWithAnotherProtocolVersion() throws Exception {
+        byte[] hello = new HandshakeCodec().encode(new HandshakeMessage.Hello("r5", PeerSecret.newNonce()));
+        hello[VERSION_INDEX] = PeerCodec.PROTOCOL_VERSION - 1;
+        try (PeerNetwork first = start("r1", SECRET, events1);
+                PeerNetwork second = start("r2", SECRET, events2);
+                Socket socket = new Socket(InetAddress.getLoopbackAddress(), first.port())) {
+            FakePeer.writeFrame(socket, hello);
+
+            assertThat(socket.getInputStream().read()).isEqualTo(-1);
+            connect(first, second);
+            second.send(new Action.SendPeer("r1", new PermitCancelled("q1")));
+            assertThat(next(events1)).isEqualTo(new Event.PeerMessageReceived("r2", new PermitCancelled("q1")));
+        }
+    }
+
     @Test
     void shouldReadNoMessageFromAnUnauthenticatedDialer() throws Exception {
         try (PeerNetwork first = start("r1", SECRET, events1);
