--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorState.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorState.java
@@ -22,6 +22,7 @@
 import org.daisyscale.core.serving.RoutingTableChange;
 import org.daisyscale.core.serving.RoutingTableHistory;
 import org.daisyscale.core.serving.ServingEvent;
+import org.daisyscale.router.internal.following.ItemFailureListener;
 import org.daisyscale.router.internal.log.EventLog;
 import org.daisyscale.router.serving.FleetDecoder;
 
@@ -52,7 +53,7 @@
         this.decoder = decoder;
         this.events = events;
         this.readiness = readiness;
-        this.items = new ItemView(prefix, new ItemListener());
+        this.items = new ItemView(prefix, new ItemFailureListener(new ItemListener()));
     }
 
     @Override
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -20,6 +20,7 @@
 import org.daisyscale.router.internal.following.FollowEvent;
 import org.daisyscale.router.internal.following.FollowReports;
 import org.daisyscale.router.internal.following.FollowedPrefix;
+import org.daisyscale.router.internal.following.ItemFailureListener;
 import org.daisyscale.router.internal.log.EventLog;
 import org.daisyscale.router.internal.request.ByteBudget;
 import org.daisyscale.router.internal.ring.ArrayRing;
@@ -171,7 +172,7 @@
 
     private FollowedPrefix followServers(CoordinationStore store, ControllerLink controller, FleetListeners listeners) {
         String prefix = dialect.fleet().serverPrefix();
-        ItemView view = new ItemView(prefix, listeners.createServerListener());
+        ItemView view = new ItemView(prefix, new ItemFailureListener(listeners.createServerListener()));
         return follow(store, prefix, controller, view, false, nanos -> {});
     }
 
@@ -179,7 +180,7 @@
             CoordinationStore store, ControllerLink controller, FleetListeners listeners, LeaseDuty lease) {
         ViewListener listener =
                 listeners.createRouterListener(settings.serving().routerId(), lease, controller);
-        ItemView view = new ItemView(StoreKeys.PREFIX, listener);
+        ItemView view = new ItemView(StoreKeys.PREFIX, new ItemFailureListener(listener));
         return follow(store, StoreKeys.PREFIX, controller, view, false, nanos -> listeners.confirmRouters());
     }
 
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/following/ViewSourceLogTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/following/ViewSourceLogTest.java
@@ -4,7 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import org.daisyscale.router.internal.serving.ViewSourceLog.Reason;
+import org.daisyscale.core.following.ReadRequest.Reason;
 import org.junit.jupiter.api.Test;
 
 class ViewSourceLogTest {
