--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ChangesWhileTheStoreStallsTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ChangesWhileTheStoreStallsTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.CountDownLatch;
@@ -18,19 +19,22 @@
 import java.util.function.Function;
 import java.util.function.LongConsumer;
 import java.util.stream.LongStream;
-import org.daisyscale.core.peer.PeerMessage.OperatorUpdate;
-import org.daisyscale.core.peer.PeerMessage.StoreProgress;
+import org.daisyscale.core.following.ItemView;
+import org.daisyscale.core.following.ViewContents;
+import org.daisyscale.core.following.ViewFollower;
+import org.daisyscale.core.following.ViewListener;
 import org.daisyscale.core.platform.CoordinationStore.Item;
-import org.daisyscale.core.platform.PrefixChange;
-import org.daisyscale.core.serving.RequestLimits;
-import org.daisyscale.core.serving.RoutingTableChange;
 import org.daisyscale.core.serving.ServingEvent;
 import org.daisyscale.router.internal.duty.DutyThread;
+import org.daisyscale.router.internal.following.FollowDuty;
+import org.daisyscale.router.internal.following.FollowEvent;
+import org.daisyscale.router.internal.following.FollowPeers;
+import org.daisyscale.router.internal.following.FollowReports;
+import org.daisyscale.router.internal.following.ThreadedStoreReader;
 import org.daisyscale.router.internal.ring.ArrayRing;
 import org.daisyscale.router.internal.ring.Ring;
 import org.daisyscale.router.internal.serving.StallingStore.Response;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -47,16 +51,15 @@
 
     private static final long CHANGE_BATCH_MILLIS = 200;
     private static final int OPERATOR_RING_CAPACITY = 16;
-    private static final int CHANGE_RING_CAPACITY = 64;
+    private static final int SERVER_RING_CAPACITY = 64;
     /** The revision of version 0; each version of the configuration is one change. */
     private static final long FIRST_REVISION = 100;
 
-    private static final WatchReports NO_REPORTS = new WatchReports((event, detail) -> {}, result -> {});
-    private static final RequestLimits LIMITS = new RequestLimits(16_384, 1_000_000, 3_000, 15_000);
+    private static final FollowReports NO_REPORTS = new FollowReports((event, detail) -> {}, result -> {}, nanos -> {});
 
     private final HttpLoop loop = HttpLoop.start("test-calls");
-    private final Ring<ControllerUpdate> operatorUpdates = new ArrayRing<>("operator-updates", OPERATOR_RING_CAPACITY);
-    private final Ring<PrefixChange> changes = new ArrayRing<>("changes", CHANGE_RING_CAPACITY);
+    private final Ring<FollowEvent> operatorEvents = new ArrayRing<>("follow-op/", OPERATOR_RING_CAPACITY);
+    private final Ring<FollowEvent> serverEvents = new ArrayRing<>("follow-servers/", SERVER_RING_CAPACITY);
     private final AtomicLong writtenVersion = new AtomicLong(1);
     private final AtomicInteger listCount = new AtomicInteger();
     private final CountDownLatch stalled = new CountDownLatch(1);
@@ -92,18 +95,17 @@
         return NumberedConfigurations.configuration(version, revision(version));
     }
 
-    private static ControllerUpdate update(long firstFromVersion, long version) {
+    /** Returns the update that applies to the versions from {@code firstFromVersion} on. */
+    private static FollowEvent update(long firstFromVersion, long version) {
         Set<Long> fromVersions = new HashSet<>();
         for (long from = firstFromVersion; from <= version; from++) {
             fromVersions.add(from);
         }
-        RoutingTableChange change = new RoutingTableChange(
-                fromVersions, version, NumberedConfigurations.table(version).routes(), Set.of(), Map.of(), LIMITS);
-        return new ControllerUpdate("controller", new OperatorUpdate(revision(version), change, Set.of()));
+        return NumberedConfigurations.update(revision(version), fromVersions, version, Set.of());
     }
 
-    private static ConfirmedWatchGuard guard(String prefix) {
-        return new ConfirmedWatchGuard(prefix, progress -> {}, () -> false, nanos -> {}, System::nanoTime);
+    private static LongConsumer reads(AnsweringController controller) {
+        return version -> controller.read(revision(version), item(version));
     }
 
     private StoreClient startStore(Function<String, Response> responses) throws IOException {
@@ -142,23 +144,38 @@
         return StallingStore.whole(200, StallingStore.listingBody(revision(1), number < 6, last), 500);
     }
 
-    private OperatorWatchDuty operatorDuty(StoreClient store, ConfirmedWatchGuard guard) {
+    private FollowDuty operatorDuty(StoreClient store, FollowPeers peers) {
         Consumer<ServingEvent> events = event -> {
             if (event instanceof ServingEvent.TableChanged changed) {
                 inForceNanos.putIfAbsent(changed.table().version(), System.nanoTime());
             }
         };
         OperatorState state = new OperatorState(new NumberedConfigurations(), events, new Readiness());
-        return new OperatorWatchDuty(
-                store, "op/", guard, CHANGE_BATCH_MILLIS, operatorUpdates, state, update -> {}, NO_REPORTS);
+        return duty(store, "op/", operatorEvents, state, true, peers);
+    }
+
+    private FollowDuty duty(
+            StoreClient store,
+            String prefix,
+            Ring<FollowEvent> inbox,
+            ViewContents contents,
+            boolean isListedWhileChanging,
+            FollowPeers peers) {
+        ThreadedStoreReader reader = ThreadedStoreReader.start(store, prefix, inbox);
+        opened.add(0, reader);
+        ViewFollower follower =
+                new ViewFollower(new SplittableRandom(), CHANGE_BATCH_MILLIS, isListedWhileChanging, System.nanoTime());
+        return new FollowDuty(prefix, contents, follower, inbox, reader, peers, NO_REPORTS, System::nanoTime);
     }
 
     private void start(DutyThread.Step step) {
-        opened.add(0, DutyThread.start("test-watch", step));
+        opened.add(0, DutyThread.start("test-follow", step));
     }
 
-    private static LongConsumer confirmations(ConfirmedWatchGuard guard, String prefix) {
-        return version -> guard.confirm(new StoreProgress(prefix, revision(version)));
+    private void runUntilTheFirstVersionIsInForce(FollowDuty duty) throws InterruptedException {
+        while (inForceNanos.isEmpty()) {
+            duty.runStep();
+        }
     }
 
     /**
@@ -181,7 +198,7 @@
         }
         long endNanos = System.nanoTime() + MAX_WAIT_MILLIS * 1_000_000L;
         while (inForceNanos.ceilingKey(lastVersion) == null && System.nanoTime() - endNanos < 0) {
-            Thread.sleep(ConfirmedWatchGuard.CONTROLLER_WAIT_MILLIS);
+            Thread.sleep(ViewFollower.CONTROLLER_WAIT_MILLIS);
             confirmation.accept(lastVersion);
         }
         long longestNanos = 0;
@@ -196,51 +213,40 @@
     }
 
     /** Guards against updates that wait unread while the duty waits for the store. */
-    @Tag("known-red")
     @ParameterizedTest
     @EnumSource(Stall.class)
     void shouldApplyTheUpdatesOfTheControllerInTimeWhileACallToTheStoreStalls(Stall stall) throws Exception {
-        ConfirmedWatchGuard guard = guard("op/");
-        start(operatorDuty(startStore(target -> answer(stall, target)), guard)::runStep);
+        AnsweringController controller = new AnsweringController(ControllerView.ofOperators(), operatorEvents, true);
+        start(operatorDuty(startStore(target -> answer(stall, target)), controller)::runStep);
         stalled.await();
-        LongConsumer report = version -> operatorUpdates.offer(update(version - 1, version));
+        LongConsumer report = version -> controller.send(update(version - 1, version));
 
-        long delayMillis = longestDelayMillis(2, 15, 200, report, confirmations(guard, "op/"));
+        long delayMillis = longestDelayMillis(2, 15, 200, report, reads(controller));
 
         assertThat(delayMillis).isLessThanOrEqualTo(APPLY_LIMIT_MILLIS);
     }
 
     /** Guards against changes of servers that wait unread while the duty waits for the store. */
-    @Tag("known-red")
     @ParameterizedTest
     @EnumSource(Stall.class)
     void shouldApplyTheServersThatTheControllerReadInTimeWhileACallToTheStoreStalls(Stall stall) throws Exception {
-        ConfirmedWatchGuard guard = guard("servers/");
+        AnsweringController controller = new AnsweringController(ControllerView.ofServers(), serverEvents, true);
         StoreClient store = startStore(target -> answer(stall, target));
-        FleetWatchDuty duty = new FleetWatchDuty(
-                store,
-                "servers/",
-                guard,
-                CHANGE_BATCH_MILLIS,
-                changes,
-                change -> {},
-                new RevisionListener(),
-                NO_REPORTS);
-        start(duty::runStep);
+        ItemView view = new ItemView("servers/", new RevisionListener());
+        start(duty(store, "servers/", serverEvents, view, false, controller)::runStep);
         stalled.await();
-        LongConsumer report = version -> changes.offer(new PrefixChange(
-                "servers/", revision(version - 1), revision(version), List.of(item(version)), Set.of()));
+        LongConsumer report =
+                version -> controller.sendDifference(revision(version - 1), revision(version), item(version));
 
-        long delayMillis = longestDelayMillis(2, 15, 200, report, confirmations(guard, "servers/"));
+        long delayMillis = longestDelayMillis(2, 15, 200, report, reads(controller));
 
         assertThat(delayMillis).isLessThanOrEqualTo(APPLY_LIMIT_MILLIS);
     }
 
     /** Guards against a failing call to the store between one waiting update and the next. */
-    @Tag("known-red")
     @Test
     void shouldApplyAllWaitingUpdatesBeforeItCallsAStoreAgainWhoseListingsStopHalfway() throws Exception {
-        ConfirmedWatchGuard guard = guard("op/");
+        AnsweringController controller = new AnsweringController(ControllerView.ofOperators(), operatorEvents, true);
         StoreClient store = startStore(target -> {
             if (target.startsWith("/watch")) {
                 return StallingStore.whole(410, "", 0);
@@ -251,42 +257,61 @@
             stalled.countDown();
             return StallingStore.stopped(500);
         });
-        start(operatorDuty(store, guard)::runStep);
+        start(operatorDuty(store, controller)::runStep);
         stalled.await();
-        LongConsumer report = version -> operatorUpdates.offer(update(1, version));
+        LongConsumer report = version -> controller.send(update(1, version));
 
-        long delayMillis = longestDelayMillis(2, 8, 100, report, confirmations(guard, "op/"));
+        long delayMillis = longestDelayMillis(2, 8, 100, report, reads(controller));
 
         assertThat(delayMillis).isLessThanOrEqualTo(APPLY_LIMIT_MILLIS);
     }
 
     /** Guards against a router that never makes up for an update that its full ring dropped while changes go on. */
-    @Tag("known-red")
     @Test
     void shouldReadTheStoreInTimeWhenTheFullRingDroppedUpdatesAndChangesGoOn() throws Exception {
-        ConfirmedWatchGuard guard = guard("op/");
-        OperatorWatchDuty duty = operatorDuty(startStore(target -> listing()), guard);
-        duty.runStep();
-        long lastDropped = 1 + OPERATOR_RING_CAPACITY + 4;
-        LongConsumer report = version -> operatorUpdates.offer(update(version - 1, version));
-        LongStream.rangeClosed(2, lastDropped).forEach(report);
-        confirmations(guard, "op/").accept(lastDropped);
-        start(duty::runStep);
+        AnsweringController controller = new AnsweringController(ControllerView.ofOperators(), operatorEvents, false);
+        FollowDuty duty = operatorDuty(startStore(target -> listing()), controller);
 
-        long delayMillis = longestDelayMillis(lastDropped + 1, 60, 100, report, confirmations(guard, "op/"));
+        long delayMillis = longestDelayMillisAfterAFullRing(duty, controller);
 
         assertThat(delayMillis).isLessThanOrEqualTo(APPLY_LIMIT_MILLIS);
     }
 
+    @Test
+    void shouldLearnFromTheControllerInTimeWhatTheFullRingDroppedWhileTheStoreAnswersNothing() throws Exception {
+        AnsweringController controller = new AnsweringController(ControllerView.ofOperators(), operatorEvents, true);
+        FollowDuty duty = operatorDuty(
+                startStore(target -> listCount.incrementAndGet() == 1 ? listing() : StallingStore.unanswered()),
+                controller);
+
+        long delayMillis = longestDelayMillisAfterAFullRing(duty, controller);
+
+        assertThat(delayMillis).isLessThanOrEqualTo(APPLY_LIMIT_MILLIS);
+    }
+
+    /** Sends more updates than the ring holds before the duty runs, and writes versions while it does. */
+    private long longestDelayMillisAfterAFullRing(FollowDuty duty, AnsweringController controller)
+            throws InterruptedException {
+        reads(controller).accept(1);
+        runUntilTheFirstVersionIsInForce(duty);
+        long lastDropped = 1 + OPERATOR_RING_CAPACITY + 4;
+        LongConsumer report = version -> controller.send(update(version - 1, version));
+        LongStream.rangeClosed(2, lastDropped).forEach(report);
+        reads(controller).accept(lastDropped);
+        start(duty::runStep);
+        return longestDelayMillis(lastDropped + 1, 60, 100, report, reads(controller));
+    }
+
     /** Guards against a timeout of silence that leaves no time for a second call to the store. */
-    @Tag("known-red")
     @Test
     void shouldReadTheStoreInTimeWhenTheControllerFallsSilentAndOneResponseIsLost() throws Exception {
-        ConfirmedWatchGuard guard = guard("op/");
-        OperatorWatchDuty duty = operatorDuty(
-                startStore(target -> listCount.incrementAndGet() == 2 ? StallingStore.unanswered() : listing()), guard);
-        duty.runStep();
-        confirmations(guard, "op/").accept(1);
+        AnsweringController controller = new AnsweringController(ControllerView.ofOperators(), operatorEvents, false);
+        FollowDuty duty = operatorDuty(
+                startStore(target -> listCount.incrementAndGet() == 2 ? StallingStore.unanswered() : listing()),
+                controller);
+        reads(controller).accept(1);
+        runUntilTheFirstVersionIsInForce(duty);
+        reads(controller).accept(1);
         start(duty::runStep);
 
         long delayMillis = longestDelayMillis(2, 1, 0, version -> {}, version -> {});
@@ -307,9 +332,10 @@
                     : StallingStore.whole(
                             200,
                             StallingStore.changesBody(revision(writtenVersion.get() + 1)),
-                            ConfirmedWatchGuard.UNCONFIRMED_WAIT_MILLIS);
+                            ViewFollower.ALONE_WAIT_MILLIS);
         });
-        start(operatorDuty(store, guard("op/"))::runStep);
+        AnsweringController silent = new AnsweringController(ControllerView.ofOperators(), operatorEvents, false);
+        start(operatorDuty(store, silent)::runStep);
 
         long delayMillis = longestDelayMillis(2, 30, 100, version -> {}, version -> {});
 
@@ -317,7 +343,7 @@
     }
 
     /** Records the revision of each item as that of a version in force. */
-    private final class RevisionListener implements FleetWatchDuty.Listener {
+    private final class RevisionListener implements ViewListener {
 
         @Override
         public void onWritten(Item item, long maxAgeMillis) {
@@ -330,7 +356,7 @@
         }
 
         @Override
-        public void onListed() {
+        public void onComplete() {
             // The items were reported one by one.
         }
     }
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ControllerView.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ControllerView.java
@@ -50,6 +50,11 @@
         return updated(contents.updateFrom(new ViewVersion(revision, 0), false));
     }
 
+    /** Returns the answer to a router that holds {@code held}. */
+    FollowEvent answer(ViewVersion held, boolean needsWhole) {
+        return updated(contents.updateFrom(held, needsWhole));
+    }
+
     /** Returns the update for a router to which no difference applies. */
     FollowEvent wholeUpdate() {
         return updated(contents.updateFrom(ViewVersion.NONE, true));
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/NumberedConfigurations.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/NumberedConfigurations.java
@@ -47,8 +47,13 @@
      * {@code revision} like the evacuations.
      */
     static FollowEvent update(long revision, long fromVersion, long version, Set<String> evacuated) {
+        return update(revision, Set.of(fromVersion, version), version, evacuated);
+    }
+
+    /** Returns the update of the controller from any of {@code fromVersions} to {@code version}. */
+    static FollowEvent update(long revision, Set<Long> fromVersions, long version, Set<String> evacuated) {
         RoutingTableChange change = new RoutingTableChange(
-                Set.copyOf(List.of(fromVersion, version)),
+                fromVersions,
                 version,
                 table(version).routes(),
                 List.of(0),
