--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/dispatch/Dispatcher.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/dispatch/Dispatcher.java
@@ -30,6 +30,9 @@
     private final ControllerLink controllerLink;
     private final Map<RangeKey, RangeDispatcher> openRanges = new TreeMap<>();
     private final Map<RangeKey, HandoverBuffer> handoverBuffers = new TreeMap<>();
+    /** The ledgers that were handed over in the newest map, kept because a message is lost with its connection. */
+    private final Map<RangeKey, PeerMessage.LedgerHandover> sentHandovers = new TreeMap<>();
+
     private final StandInRanges standInRanges;
 
     /** Creates a dispatcher without ranges and schedules its housekeeping and its reports to the controller. */
@@ -48,6 +51,8 @@
             handleMessage(received, now, out);
         } else if (event instanceof Event.PeerDisconnected disconnected) {
             allRanges().forEach(range -> range.dropRequestsOf(disconnected.peer()));
+        } else if (event instanceof Event.PeerConnected connected) {
+            repeatHandovers(connected.peer(), out);
         }
         if (event instanceof Event.MapRead || event instanceof Event.MapWriteEnded) {
             applyMap(now, out);
@@ -125,6 +130,7 @@
     private void applyMap(Moment now, Outbox out) {
         for (RangeAssignment assignment : context.maps().map().ranges()) {
             RangeKey key = RangeKey.of(assignment);
+            sentHandovers.computeIfPresent(key, (sentKey, sent) -> sent.epoch() == assignment.epoch() ? sent : null);
             RangeDispatcher range = openRanges.get(key);
             boolean isAssigned = context.duties().isAssigned(key);
             if (range != null && (!isAssigned || range.epoch() != assignment.epoch())) {
@@ -172,11 +178,23 @@
         range.rejectAll(out);
         openRanges.remove(key);
         if (next.predecessor().equals(routerId)) {
-            out.send(next.router(), range.ledger().handover(key, next.epoch()));
+            PeerMessage.LedgerHandover handover = range.ledger().handover(key, next.epoch());
+            sentHandovers.put(key, handover);
+            out.send(next.router(), handover);
         }
         out.report("range-closed", describe(key, range.epoch()));
     }
 
+    /** Sends the ledgers again that {@code peer} may have missed while it was not connected. */
+    private void repeatHandovers(String peer, Outbox out) {
+        for (RangeAssignment assignment : context.maps().map().ranges()) {
+            PeerMessage.LedgerHandover sent = sentHandovers.get(RangeKey.of(assignment));
+            if (sent != null && assignment.router().equals(peer)) {
+                out.send(peer, sent);
+            }
+        }
+    }
+
     private void runHousekeeping(Moment now, Outbox out) {
         openRanges.forEach((key, range) -> {
             if (context.duties().mayDispatch(key, now)) {
--- a/daisyscale-core/src/test/java/org/daisyscale/core/RouterCoreTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/RouterCoreTest.java
@@ -18,6 +18,8 @@
 import org.daisyscale.core.membership.VmRecord;
 import org.daisyscale.core.membership.VmRole;
 import org.daisyscale.core.ownership.OwnershipMap;
+import org.daisyscale.core.ownership.RangeAssignment;
+import org.daisyscale.core.peer.PeerMessage;
 import org.daisyscale.core.platform.WriteOutcome;
 import org.daisyscale.core.request.BackendOutcome;
 import org.daisyscale.core.request.KeyHeaders;
@@ -32,6 +34,7 @@
             new CoreSettings("router-1", "dc1", 1, TimingSettings.defaults(), DispatchSettings.defaults()));
     private final List<Action> emitted = new ArrayList<>();
     private long nowNanos = 1_000 * MILLI;
+    private boolean isPlatformReachable = true;
 
     @Test
     void shouldSendAnOrderToTheOwnerOfTheKeyAndForwardTheAnswer() {
@@ -76,6 +79,39 @@
         assertThat(last(Action.StopNow.class)).isNotNull();
     }
 
+    /** Guards against ids that end as "outcome unknown" because their ledger was sent to a disconnected router. */
+    @Test
+    void shouldHandTheLedgerOverAgainWhenTheSuccessorConnectsLater() {
+        runUntilKeysAreOwned();
+        OwnershipMap owned = last(Action.WriteMap.class).map();
+        isPlatformReachable = false;
+        handle(new Event.MapRead(movedTo("router-2", owned)));
+        PeerMessage handover = lastSent(PeerMessage.LedgerHandover.class);
+        emitted.clear();
+
+        handle(new Event.PeerConnected("router-2"));
+
+        assertThat(emitted).contains(new Action.SendPeer("router-2", handover));
+    }
+
+    private static OwnershipMap movedTo(String router, OwnershipMap map) {
+        List<RangeAssignment> moved = map.ranges().stream()
+                .map(range -> new RangeAssignment(
+                        range.service(), range.range(), router, range.epoch() + 1, range.firstEpoch(), range.router()))
+                .toList();
+        return new OwnershipMap(map.version() + 1, map.term(), "w-moved", map.seats(), moved, map.slices());
+    }
+
+    private PeerMessage lastSent(Class<? extends PeerMessage> type) {
+        List<PeerMessage> messages = emitted.stream()
+                .filter(Action.SendPeer.class::isInstance)
+                .map(action -> ((Action.SendPeer) action).message())
+                .filter(type::isInstance)
+                .toList();
+        assertThat(messages).as(type.getSimpleName()).isNotEmpty();
+        return messages.get(messages.size() - 1);
+    }
+
     @Test
     void shouldRejectRequestsBeforeAConfigurationIsKnown() {
         handle(new Event.RequestArrived("r1", lookup("/slots/42")));
@@ -108,7 +144,7 @@
     private void perform(Action action) {
         if (action instanceof Action.HoldControlLease) {
             handle(new Event.ControlLeaseHeld(7, nowNanos));
-        } else if (action instanceof Action.WriteMap write) {
+        } else if (action instanceof Action.WriteMap write && isPlatformReachable) {
             handle(new Event.MapWriteEnded(write.map().writeId(), WriteOutcome.ACCEPTED));
         } else if (action instanceof Action.ReadMap) {
             handle(new Event.MapRead(OwnershipMap.empty()));
