Router: send no body with a reply to HEAD

What callers saw: each reply that the router makes itself (404, 503 and the others, the readiness and metrics pages) went out with its body on HEAD, too. On a connection that is kept, the caller takes those bytes for the next reply: "bytes that are no answer". Ratpack sends what it is given, whatever the method.

ReplyBody sends the length alone; a backend server's reply to HEAD now keeps its Content-Length, which was 0 before.

--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/front/CallerHandler.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/front/CallerHandler.java
@@ -181,6 +181,6 @@
 
     private void send(Context context, long arrivedNanos, CallerReply reply) {
         metrics.recordReply(reply, System.nanoTime() - arrivedNanos);
-        ReplyWriter.write(context.getResponse(), reply);
+        ReplyWriter.write(context, reply);
     }
 }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/front/ErrorReplies.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/front/ErrorReplies.java
@@ -36,6 +36,6 @@
     }
 
     private static void send(Context context, CallerReply reply) {
-        ReplyWriter.write(context.getResponse(), reply);
+        ReplyWriter.write(context, reply);
     }
 }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/front/ReplyWriter.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/front/ReplyWriter.java
@@ -1,7 +1,8 @@
 package org.daisyscale.router.internal.front;
 
-import io.netty.buffer.Unpooled;
 import org.daisyscale.router.internal.request.CallerReply;
+import org.daisyscale.router.internal.request.ReplyBody;
+import ratpack.handling.Context;
 import ratpack.http.Response;
 
 /** Writes a complete reply, uncompressed and with its length. Stateless. */
@@ -9,10 +10,11 @@
 
     private ReplyWriter() {}
 
-    static void write(Response response, CallerReply reply) {
+    static void write(Context context, CallerReply reply) {
+        Response response = context.getResponse();
         response.status(reply.status());
         response.noCompress();
         reply.headers().forEach(header -> response.getHeaders().add(header.name(), header.value()));
-        response.send(Unpooled.wrappedBuffer(reply.body()));
+        ReplyBody.send(context, reply.body());
     }
 }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ReplyWriter.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ReplyWriter.java
@@ -1,14 +1,15 @@
 package org.daisyscale.router.internal.serving;
 
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import org.daisyscale.core.error.CoreErrorCode;
 import org.daisyscale.core.serving.ServingAction;
 import org.daisyscale.router.internal.front.Rejections;
 import org.daisyscale.router.internal.request.CallerReply;
 import org.daisyscale.router.internal.request.EndToEndHeaders;
+import org.daisyscale.router.internal.request.ReplyBody;
 import org.daisyscale.router.serving.CallerDialect;
 import org.daisyscale.router.serving.WireReply;
+import ratpack.handling.Context;
 import ratpack.http.Response;
 
 /** Writes final responses to callers, whole and with their length. Stateless. */
@@ -18,12 +19,18 @@
     private ReplyWriter() {}
 
     /** Writes the response of a backend server unchanged. */
-    static void writeReply(Response response, WireReply reply) {
+    static void writeReply(Context context, WireReply reply) {
+        Response response = context.getResponse();
         response.status(reply.status());
         response.noCompress();
         EndToEndHeaders.pick(reply.headers())
                 .forEach(header -> response.getHeaders().add(header.name(), header.value()));
-        response.send(Unpooled.wrappedBuffer(reply.body()));
+        String length = reply.headers().get(HttpHeaderNames.CONTENT_LENGTH);
+        if (context.getRequest().getMethod().isHead() && length != null) {
+            ReplyBody.sendWithoutBody(response, length);
+        } else {
+            ReplyBody.send(context, reply.body());
+        }
     }
 
     private static int status(ServingAction.Reject rejection, CallerReply reply) {
@@ -36,7 +43,8 @@
     }
 
     /** Writes a rejection; its status says whether the request may have run. */
-    static void writeRejection(Response response, ServingAction.Reject rejection, CallerDialect dialect) {
+    static void writeRejection(Context context, ServingAction.Reject rejection, CallerDialect dialect) {
+        Response response = context.getResponse();
         CallerReply reply = Rejections.reply(rejection.reason(), rejection.detail());
         response.status(status(rejection, reply));
         response.noCompress();
@@ -45,6 +53,6 @@
             response.getHeaders()
                     .set(HttpHeaderNames.RETRY_AFTER.toString(), dialect.retryAfter(rejection.retryAfterMillis()));
         }
-        response.send(Unpooled.wrappedBuffer(reply.body()));
+        ReplyBody.send(context, reply.body());
     }
 }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -1,5 +1,6 @@
 package org.daisyscale.router.internal.serving;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -14,6 +15,7 @@
 import org.daisyscale.router.internal.error.ShellException;
 import org.daisyscale.router.internal.log.EventLog;
 import org.daisyscale.router.internal.request.ByteBudget;
+import org.daisyscale.router.internal.request.ReplyBody;
 import org.daisyscale.router.internal.ring.ArrayRing;
 import org.daisyscale.router.internal.ring.Ring;
 import org.daisyscale.router.serving.PlatformDialect;
@@ -216,11 +218,12 @@
     private void answerReadiness(Context context) {
         boolean isReady = readiness.isReady();
         context.getResponse().status(isReady ? HttpStatusCodes.OK : HttpStatusCodes.SERVICE_UNAVAILABLE);
-        context.getResponse().send(isReady ? "ready" : "not ready");
+        ReplyBody.send(context, (isReady ? "ready" : "not ready").getBytes(StandardCharsets.UTF_8));
     }
 
     private void answerMetrics(Context context) {
-        context.getResponse().send(METRICS_TYPE, metrics.exposition());
+        context.getResponse().contentType(METRICS_TYPE);
+        ReplyBody.send(context, metrics.exposition());
     }
 
     /** Stops serving: releases the control of the keys first, accepts no new requests and lets those in flight end. */
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingHandler.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingHandler.java
@@ -185,9 +185,9 @@
             context.getResponse().forceCloseConnection();
         }
         if (outcome instanceof Exchange.Outcome.Answered answered) {
-            ReplyWriter.writeReply(context.getResponse(), answered.reply());
+            ReplyWriter.writeReply(context, answered.reply());
         } else if (outcome instanceof Exchange.Outcome.Rejected rejected) {
-            ReplyWriter.writeRejection(context.getResponse(), rejected.rejection(), dialect);
+            ReplyWriter.writeRejection(context, rejected.rejection(), dialect);
         }
     }
 }
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/UncertainRouteReplyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/UncertainRouteReplyTest.java
@@ -149,6 +149,21 @@
         assertThat(send("GET").get(0)).startsWith("HTTP/1.1 503 ").contains("DSC-1011");
     }
 
+    @Test
+    void shouldKeepTheConnectionInStepAfterRejectionsOfAnyMethod() throws Exception {
+        confirm(System.nanoTime() - OUTAGE_NANOS);
+
+        List<String> replies = send("HEAD", "POST", "HEAD", "GET");
+
+        assertThat(replies)
+                .allSatisfy(reply ->
+                        assertThat(reply).startsWith("HTTP/1.1 503 ").doesNotContainIgnoringCase("Connection: close"));
+        assertThat(replies.get(0)).endsWith("\r\n\r\n").doesNotContainIgnoringCase("content-length: 0\r\n");
+        assertThat(replies.get(1)).contains("DSC-1011");
+        assertThat(replies.get(2)).endsWith("\r\n\r\n").doesNotContainIgnoringCase("content-length: 0\r\n");
+        assertThat(replies.get(3)).contains("DSC-1011");
+    }
+
     @Test
     void shouldReply404OnTheSameConnectionOnceTheConfigurationIsCurrentAgain() throws Exception {
         confirm(System.nanoTime() - OUTAGE_NANOS);
