--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ItemView.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ItemView.java
@@ -28,6 +28,8 @@
     private final Map<String, Item> itemByKey = new HashMap<>();
     private final Set<String> lapsedKeys = new LinkedHashSet<>();
     private final Deque<Removal> removals = new ArrayDeque<>();
+    /** The revision of the last removal of each key in {@link #removals}. */
+    private final Map<String, Long> removedRevisionByKey = new HashMap<>();
     /** The revision from which on no removal is missing in {@link #removals}. */
     private long removalsSinceRevision;
 
@@ -73,25 +75,33 @@
         long newest = changes.revision();
         for (ItemChange change : lastByKey.values()) {
             newest = Math.max(newest, change.revision());
-            if (change.item().isPresent()) {
-                write(change.item().get(), circumstances.maxAgeMillis());
-            } else if (isHeldBefore(change.key(), change.revision())) {
-                recordMissing(change.key(), change.revision(), circumstances);
-            }
+            apply(change, circumstances);
         }
         revision = Math.max(revision, newest);
         listener.onComplete();
     }
 
-    private boolean isHeldBefore(String key, long removedRevision) {
-        Item known = itemByKey.get(key);
-        return known != null && known.revision() <= removedRevision;
+    private void apply(ItemChange change, ReadCircumstances circumstances) {
+        Item known = itemByKey.get(change.key());
+        if (change.item().isPresent()) {
+            // The view may have been told meanwhile that an item of a late response is gone.
+            if (known != null || change.revision() > revision) {
+                write(change.item().get(), circumstances.maxAgeMillis());
+            }
+        } else if (known == null) {
+            recordRemoval(change.key(), change.revision());
+        } else if (known.revision() <= change.revision()) {
+            recordMissing(change.key(), change.revision(), circumstances);
+        }
     }
 
     @Override
     public UpdateResult applyUpdate(ViewUpdate update, String controllerId, long maxAgeMillis) {
         UpdateResult result = check(update);
         if (result == UpdateResult.APPLIED) {
+            update.removedKeys().stream()
+                    .filter(key -> !itemByKey.containsKey(key))
+                    .forEach(key -> recordRemoval(key, update.version().revision()));
             keysRemovedBy(update).forEach(key -> remove(key, update.version().revision()));
             update.written().forEach(item -> write(item, maxAgeMillis));
             if (revision == 0) {
@@ -105,6 +115,9 @@
 
     /** Returns what would become of {@code update}, and changes nothing. */
     public UpdateResult check(ViewUpdate update) {
+        if (!update.prefix().equals(prefix) || hasItemTwice(update)) {
+            return UpdateResult.DOES_NOT_APPLY;
+        }
         boolean isHeld = revision > 0 && update.version().hasSameItems(version());
         if (update.version().revision() < revision || isHeld || wouldTakeBack(update)) {
             return UpdateResult.OLDER;
@@ -115,18 +128,27 @@
         return digestAfter(update) == update.version().digest() ? UpdateResult.APPLIED : UpdateResult.DOES_NOT_APPLY;
     }
 
+    private static boolean hasItemTwice(ViewUpdate update) {
+        return update.written().stream().map(Item::key).distinct().count()
+                != update.written().size();
+    }
+
     /** Returns whether the update lacks a change that this router read, which may be further than its revision. */
     private boolean wouldTakeBack(ViewUpdate update) {
-        boolean isAnyWrittenOlder = update.written().stream().anyMatch(item -> {
-            Item known = itemByKey.get(item.key());
-            return known != null && known.revision() > item.revision();
-        });
-        return isAnyWrittenOlder
+        return update.written().stream().anyMatch(this::isOlder)
                 || keysRemovedBy(update).stream()
                         .anyMatch(key ->
                                 itemByKey.get(key).revision() > update.version().revision());
     }
 
+    /** Returns whether the item is known to have been written again or removed after {@code item} was written. */
+    private boolean isOlder(Item item) {
+        Item known = itemByKey.get(item.key());
+        return known == null
+                ? removedRevisionByKey.getOrDefault(item.key(), 0L) >= item.revision()
+                : known.revision() > item.revision();
+    }
+
     private Set<String> keysRemovedBy(ViewUpdate update) {
         Set<String> keys = new HashSet<>(update.isWhole() ? itemByKey.keySet() : update.removedKeys());
         keys.retainAll(itemByKey.keySet());
@@ -139,15 +161,9 @@
         for (String key : keysRemovedBy(update)) {
             after -= ItemDigest.of(key, itemByKey.get(key).revision());
         }
-        Map<String, Long> writtenRevisions = new HashMap<>();
         for (Item item : update.written()) {
             Item known = itemByKey.get(item.key());
-            Long replaced = writtenRevisions.put(item.key(), item.revision());
-            if (replaced != null) {
-                after -= ItemDigest.of(item.key(), replaced);
-            } else if (known != null) {
-                after -= ItemDigest.of(item.key(), known.revision());
-            }
+            after -= known == null ? 0 : ItemDigest.of(item.key(), known.revision());
             after += ItemDigest.of(item.key(), item.revision());
         }
         return after;
@@ -219,6 +235,7 @@
         }
         digest += ItemDigest.of(item.key(), item.revision());
         itemByKey.put(item.key(), item);
+        removedRevisionByKey.remove(item.key());
         listener.onWritten(item, maxAgeMillis);
     }
 
@@ -229,11 +246,18 @@
             return;
         }
         digest -= ItemDigest.of(key, known.revision());
+        recordRemoval(key, removedRevision);
+        listener.onRemoved(key);
+    }
+
+    private void recordRemoval(String key, long removedRevision) {
         removals.addLast(new Removal(key, removedRevision));
+        removedRevisionByKey.merge(key, removedRevision, Math::max);
         if (removals.size() > MAX_REMOVALS) {
-            removalsSinceRevision = removals.removeFirst().revision() + 1;
+            Removal forgotten = removals.removeFirst();
+            removedRevisionByKey.remove(forgotten.key(), forgotten.revision());
+            removalsSinceRevision = Math.max(removalsSinceRevision, forgotten.revision() + 1);
         }
-        listener.onRemoved(key);
     }
 
     /**
