--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/StoreReads.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/StoreReads.java
@@ -36,12 +36,19 @@
         startedNanos = nowNanos;
     }
 
-    /** Records a response; the next read waits for further changes to read, unless there was nothing to read. */
-    void recordResponse(int changeCount, long nowNanos) {
+    /**
+     * Records a response; the next read waits for further changes to read, unless there was nothing to read.
+     *
+     * @return since when the response may be the newest, by the monotonic clock: a listing may be as old as its request
+     */
+    long recordResponse(int changeCount, boolean isComplete, long nowNanos) {
         boolean wasWatch = isWatchPending();
         pending = Optional.empty();
         failureCount = 0;
-        notBeforeNanos = nowNanos + (wasWatch && changeCount == 0 ? 0 : Deadlines.nanos(batchMillis));
+        boolean isEmptyWatch = wasWatch && changeCount == 0;
+        long sinceNanos = isEmptyWatch ? startedNanos : nowNanos;
+        notBeforeNanos = isEmptyWatch && !isComplete ? nowNanos : sinceNanos + Deadlines.nanos(batchMillis);
+        return wasWatch ? nowNanos : startedNanos;
     }
 
     void recordFailed(long nowNanos) {
--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/TellerDialogue.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/TellerDialogue.java
@@ -47,6 +47,12 @@
         mustSay = mustSay || hasSaid;
     }
 
+    /** Records that the teller holds the same items. */
+    void recordMatching() {
+        mustSay = mustSay || (hasSaid && needsWhole);
+        needsWhole = false;
+    }
+
     /**
      * Records that an update was not applied.
      *
--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewAge.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewAge.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.Predicate;
 
 /**
  * The age of a view. A view that lacks something ages from the oldest report of it: no later report, no update that is
@@ -23,6 +24,9 @@
 
     /** Records a report of something that the view lacks. */
     void recordMissed(ViewVersion reported, long nowNanos) {
+        if (!missedReports.isEmpty() && missedReports.getLast().version().equals(reported)) {
+            return;
+        }
         if (missedReports.size() == MAX_MISSED_REPORTS) {
             missedReports.removeLast();
         }
@@ -31,24 +35,36 @@
 
     /** Records that {@code held} is held now, which may be less than what was reported. */
     void recordHeld(ViewVersion held) {
-        while (!missedReports.isEmpty() && missedReports.getFirst().isReachedBy(held)) {
-            markCurrent(missedReports.removeFirst().nanos());
-        }
+        removeReached(report -> report.isReachedBy(held));
     }
 
-    /** Records that the view holds everything that was reported up to {@code nanos}. */
-    void recordComplete(long nanos) {
-        missedReports.clear();
-        markCurrent(nanos);
+    /** Records a report of the same items as are held; the view is current unless it lacks what was reported before. */
+    void recordMatching(ViewVersion reported, long nowNanos) {
+        removeReached(report -> report.isReachedBy(reported));
+        if (missedReports.isEmpty()) {
+            markCurrent(nowNanos);
+        }
     }
 
-    /** Records a response of the store at {@code nanos}; the view is current unless it lacks what was reported. */
-    void recordRead(long nanos) {
+    /**
+     * Records a read of the store that proved at {@code nanos} that {@code held}, which is held now, lacks nothing; the
+     * view is current unless more was reported.
+     */
+    void recordRead(ViewVersion held, long nanos) {
+        removeReached(report -> report.isReachedBy(held) || report.version().revision() <= held.revision());
         if (missedReports.isEmpty()) {
             markCurrent(nanos);
         }
     }
 
+    /** Removes the reports that are reached; the view was current when those before the first other one arrived. */
+    private void removeReached(Predicate<Report> isReached) {
+        while (!missedReports.isEmpty() && isReached.test(missedReports.getFirst())) {
+            markCurrent(missedReports.removeFirst().nanos());
+        }
+        missedReports.removeIf(isReached);
+    }
+
     private void markCurrent(long nanos) {
         if (nanos - currentNanos > 0) {
             currentNanos = nanos;
--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewFollower.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewFollower.java
@@ -81,7 +81,8 @@
         if (isKnown && reported.hasSameItems(held)) {
             held = new ViewVersion(Math.max(held.revision(), reported.revision()), held.digest());
             needsListing = false;
-            age.recordComplete(nowNanos);
+            dialogue.recordMatching();
+            age.recordMatching(reported, nowNanos);
             return true;
         }
         if (reported.revision() >= held.revision()) {
@@ -126,7 +127,7 @@
      */
     public void recordRead(ViewVersion newHeld, int changeCount, boolean isComplete, long nowNanos) {
         boolean isChanged = !newHeld.hasSameItems(held);
-        reads.recordResponse(changeCount, nowNanos);
+        long readNanos = reads.recordResponse(changeCount, isComplete, nowNanos);
         isChangingQuickly = isListedWhileChanging && (changeCount > 1 || (isChangingQuickly && isChanged));
         needsListing = !isComplete;
         isKnown = isKnown || isComplete;
@@ -136,7 +137,7 @@
         drawSpread();
         hold(newHeld);
         if (isComplete) {
-            age.recordRead(nowNanos);
+            age.recordRead(newHeld, readNanos);
         }
     }
 
