--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ItemView.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ItemView.java
@@ -28,7 +28,7 @@
     private final Map<String, Item> itemByKey = new HashMap<>();
     private final Set<String> lapsedKeys = new LinkedHashSet<>();
     private final Deque<Removal> removals = new ArrayDeque<>();
-    /** The newest removal of each key in {@link #removals}. */
+    /** The revision of the last removal of each key in {@link #removals}. */
     private final Map<String, Long> removedRevisionByKey = new HashMap<>();
     /** The revision from which on no removal is missing in {@link #removals}. */
     private long removalsSinceRevision;
@@ -71,31 +71,37 @@
     @Override
     public void applyChanges(Changes changes, ReadCircumstances circumstances) {
         Map<String, ItemChange> lastByKey = new LinkedHashMap<>();
-        changes.changes().stream()
-                .filter(change -> change.revision() > revision)
-                .forEach(change -> lastByKey.put(change.key(), change));
+        changes.changes().forEach(change -> lastByKey.put(change.key(), change));
         long newest = changes.revision();
         for (ItemChange change : lastByKey.values()) {
             newest = Math.max(newest, change.revision());
-            if (change.item().isPresent()) {
-                write(change.item().get(), circumstances.maxAgeMillis());
-            } else if (isHeldBefore(change.key(), change.revision())) {
-                recordMissing(change.key(), change.revision(), circumstances);
-            }
+            apply(change, circumstances);
         }
         revision = Math.max(revision, newest);
         listener.onComplete();
     }
 
-    private boolean isHeldBefore(String key, long removedRevision) {
-        Item known = itemByKey.get(key);
-        return known != null && known.revision() <= removedRevision;
+    private void apply(ItemChange change, ReadCircumstances circumstances) {
+        Item known = itemByKey.get(change.key());
+        if (change.item().isPresent()) {
+            // The view may have been told meanwhile that an item of a late response is gone.
+            if (known != null || change.revision() > revision) {
+                write(change.item().get(), circumstances.maxAgeMillis());
+            }
+        } else if (known == null) {
+            recordRemoval(change.key(), change.revision());
+        } else if (known.revision() <= change.revision()) {
+            recordMissing(change.key(), change.revision(), circumstances);
+        }
     }
 
     @Override
     public UpdateResult applyUpdate(ViewUpdate update, String controllerId, long maxAgeMillis) {
         UpdateResult result = check(update);
         if (result == UpdateResult.APPLIED) {
+            update.removedKeys().stream()
+                    .filter(key -> !itemByKey.containsKey(key))
+                    .forEach(key -> recordRemoval(key, update.version().revision()));
             keysRemovedBy(update).forEach(key -> remove(key, update.version().revision()));
             update.written().forEach(item -> write(item, maxAgeMillis));
             if (revision == 0) {
@@ -109,6 +115,9 @@
 
     /** Returns what would become of {@code update}, and changes nothing. */
     public UpdateResult check(ViewUpdate update) {
+        if (!update.prefix().equals(prefix) || hasItemTwice(update)) {
+            return UpdateResult.DOES_NOT_APPLY;
+        }
         boolean isHeld = revision > 0 && update.version().hasSameItems(version());
         if (update.version().revision() < revision || isHeld || wouldTakeBack(update)) {
             return UpdateResult.OLDER;
@@ -119,20 +128,25 @@
         return digestAfter(update) == update.version().digest() ? UpdateResult.APPLIED : UpdateResult.DOES_NOT_APPLY;
     }
 
+    private static boolean hasItemTwice(ViewUpdate update) {
+        return update.written().stream().map(Item::key).distinct().count()
+                != update.written().size();
+    }
+
     /** Returns whether the update lacks a change that this router read, which may be further than its revision. */
     private boolean wouldTakeBack(ViewUpdate update) {
-        return update.written().stream().anyMatch(this::isOlderThanKnown)
+        return update.written().stream().anyMatch(this::isOlder)
                 || keysRemovedBy(update).stream()
                         .anyMatch(key ->
                                 itemByKey.get(key).revision() > update.version().revision());
     }
 
-    /** Returns whether this router knows a newer version of {@code item}, or that it is gone. */
-    private boolean isOlderThanKnown(Item item) {
+    /** Returns whether the item is known to have been written again or removed after {@code item} was written. */
+    private boolean isOlder(Item item) {
         Item known = itemByKey.get(item.key());
-        return known != null
-                ? known.revision() > item.revision()
-                : removedRevisionByKey.getOrDefault(item.key(), 0L) >= item.revision();
+        return known == null
+                ? removedRevisionByKey.getOrDefault(item.key(), 0L) >= item.revision()
+                : known.revision() > item.revision();
     }
 
     private Set<String> keysRemovedBy(ViewUpdate update) {
@@ -147,15 +161,9 @@
         for (String key : keysRemovedBy(update)) {
             after -= ItemDigest.of(key, itemByKey.get(key).revision());
         }
-        Map<String, Long> writtenRevisions = new HashMap<>();
         for (Item item : update.written()) {
             Item known = itemByKey.get(item.key());
-            Long replaced = writtenRevisions.put(item.key(), item.revision());
-            if (replaced != null) {
-                after -= ItemDigest.of(item.key(), replaced);
-            } else if (known != null) {
-                after -= ItemDigest.of(item.key(), known.revision());
-            }
+            after -= known == null ? 0 : ItemDigest.of(item.key(), known.revision());
             after += ItemDigest.of(item.key(), item.revision());
         }
         return after;
@@ -223,7 +231,7 @@
     private void write(Item item, long maxAgeMillis) {
         Item known = itemByKey.get(item.key());
         lapsedKeys.remove(item.key());
-        if (isOlderThanKnown(item) || (known != null && known.revision() == item.revision())) {
+        if (known != null && known.revision() >= item.revision()) {
             return;
         }
         if (known != null) {
@@ -231,6 +239,7 @@
         }
         digest += ItemDigest.of(item.key(), item.revision());
         itemByKey.put(item.key(), item);
+        removedRevisionByKey.remove(item.key());
         listener.onWritten(item, maxAgeMillis);
     }
 
@@ -241,14 +250,18 @@
             return;
         }
         digest -= ItemDigest.of(key, known.revision());
+        recordRemoval(key, removedRevision);
+        listener.onRemoved(key);
+    }
+
+    private void recordRemoval(String key, long removedRevision) {
         removals.addLast(new Removal(key, removedRevision));
-        removedRevisionByKey.put(key, removedRevision);
+        removedRevisionByKey.merge(key, removedRevision, Math::max);
         if (removals.size() > MAX_REMOVALS) {
-            Removal oldest = removals.removeFirst();
-            removalsSinceRevision = oldest.revision() + 1;
-            removedRevisionByKey.remove(oldest.key(), oldest.revision());
+            Removal forgotten = removals.removeFirst();
+            removedRevisionByKey.remove(forgotten.key(), forgotten.revision());
+            removalsSinceRevision = Math.max(removalsSinceRevision, forgotten.revision() + 1);
         }
-        listener.onRemoved(key);
     }
 
     /**
--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/StoreReads.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/StoreReads.java
@@ -36,12 +36,20 @@
         startedNanos = nowNanos;
     }
 
-    /** Records a response; the next read waits for further changes to read, unless there was nothing to read. */
-    void recordResponse(int changeCount, long nowNanos) {
-        boolean wasWatch = isWatchPending();
+    /**
+     * Records a response; the next read waits for further changes to read, unless there was nothing to read.
+     *
+     * @return the time up to which the response proves the view: a listing may be as old as its request, and a watch as
+     *     its wait, however long the response took to arrive
+     */
+    long recordResponse(int changeCount, boolean isComplete, long nowNanos) {
+        boolean isEmptyWatch = isWatchPending() && changeCount == 0;
+        long provenNanos = provenNanos(nowNanos);
         pending = Optional.empty();
         failureCount = 0;
-        notBeforeNanos = nowNanos + (wasWatch && changeCount == 0 ? 0 : Deadlines.nanos(batchMillis));
+        long sinceNanos = isEmptyWatch ? startedNanos : nowNanos;
+        notBeforeNanos = isEmptyWatch && !isComplete ? nowNanos : sinceNanos + Deadlines.nanos(batchMillis);
+        return provenNanos;
     }
 
     void recordFailed(long nowNanos) {
@@ -63,11 +71,7 @@
         return failureCount > 0;
     }
 
-    /**
-     * Returns the time up to which the response to the pending read proves the view: a listing may be as old as its
-     * call, and a watch as its wait, however long the response took to arrive.
-     */
-    long provenNanos(long nowNanos) {
+    private long provenNanos(long nowNanos) {
         long waitNanos = Deadlines.nanos(pending.map(ReadRequest::waitMillis).orElse(0L));
         return nowNanos - startedNanos < waitNanos ? nowNanos : startedNanos + waitNanos;
     }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewAge.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewAge.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.Predicate;
 
 /**
  * The age of a view. A view that lacks something ages from the oldest report of it: no later report, no update that is
@@ -23,6 +24,9 @@
 
     /** Records a report of something that the view lacks. */
     void recordMissed(ViewVersion reported, long nowNanos) {
+        if (!missedReports.isEmpty() && missedReports.getLast().version().equals(reported)) {
+            return;
+        }
         if (missedReports.size() == MAX_MISSED_REPORTS) {
             missedReports.removeLast();
         }
@@ -31,27 +35,34 @@
 
     /** Records that {@code held} is held now, which may be less than what was reported. */
     void recordHeld(ViewVersion held) {
-        while (!missedReports.isEmpty() && missedReports.getFirst().isReachedBy(held)) {
-            markCurrent(missedReports.removeFirst().nanos());
+        removeReached(report -> report.isReachedBy(held));
+    }
+
+    /** Records a report of the same items as are held; the view is current unless it lacks what was reported before. */
+    void recordMatching(ViewVersion reported, long nowNanos) {
+        removeReached(report -> report.isReachedBy(reported));
+        if (missedReports.isEmpty()) {
+            markCurrent(nowNanos);
         }
     }
 
     /**
-     * Records that the view lacks nothing up to {@code revision}, as the store proved at {@code nanos}. A report of
-     * something newer remains missed.
+     * Records a read of the store that proved at {@code nanos} that {@code held}, which is held now, lacks nothing; the
+     * view is current unless more was reported.
      */
-    void recordComplete(long revision, long nanos) {
-        missedReports.removeIf(missed -> missed.version().revision() <= revision);
+    void recordRead(ViewVersion held, long nanos) {
+        removeReached(report -> report.isReachedBy(held) || report.version().revision() <= held.revision());
         if (missedReports.isEmpty()) {
             markCurrent(nanos);
         }
     }
 
-    /** Records that the store proved the view at {@code nanos}; it is current unless it lacks what was reported. */
-    void recordRead(long nanos) {
-        if (missedReports.isEmpty()) {
-            markCurrent(nanos);
+    /** Removes the reports that are reached; the view was current when those before the first other one arrived. */
+    private void removeReached(Predicate<Report> isReached) {
+        while (!missedReports.isEmpty() && isReached.test(missedReports.getFirst())) {
+            markCurrent(missedReports.removeFirst().nanos());
         }
+        missedReports.removeIf(isReached);
     }
 
     private void markCurrent(long nanos) {
--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewTeller.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewTeller.java
@@ -45,6 +45,11 @@
         followerById.remove(routerId);
     }
 
+    /** Forgets all followers, because this router is no longer the controller. */
+    public void forgetAll() {
+        followerById.clear();
+    }
+
     /**
      * Returns the updates to send so that each follower reaches {@code own}, the version of the view here. They count
      * as sent.
