FollowDuty: a read never stays pending, and a lost control forgets what was sent

Cause: an Error while a response was applied, or a reader that didn't start, left the read pending, so that the prefix was never read again. A router that lost the control and got it back counted its old updates as on their way. Change: a read whose start or end throws counts as failed; followers are forgotten when the control is lost.

--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/FollowDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/FollowDuty.java
@@ -55,6 +55,7 @@
     private final SentUpdateLog sentUpdates;
     private long readNumber;
     private boolean mustReport;
+    private boolean isController;
     private volatile long currentNanos;
 
     /**
@@ -116,7 +117,15 @@
     private void startRead(ReadRequest request) {
         viewSource.recordStore(request.reason(), contents.version().revision());
         readNumber++;
-        reader.start(readNumber, request);
+        boolean isStarted = false;
+        try {
+            reader.start(readNumber, request);
+            isStarted = true;
+        } finally {
+            if (!isStarted) {
+                follower.recordFailed(clockNanos.getAsLong());
+            }
+        }
     }
 
     private void recordSource() {
@@ -174,7 +183,9 @@
         }
     }
 
+    /** Handles the end of a read. If that fails, the read counts as failed, so that it doesn't stay pending. */
     private void handleRead(FollowEvent event, long nowNanos) {
+        boolean isHandled = false;
         try {
             if (event instanceof FollowEvent.Listed listed && listed.number() == readNumber) {
                 handleListing(listed.listing(), nowNanos);
@@ -185,9 +196,13 @@
                         failed.failure(), contents.version().revision(), follower.ageMillis(nowNanos));
                 follower.recordFailed(nowNanos);
             }
+            isHandled = true;
         } catch (RuntimeException e) {
             EventLog.warn("store-response-not-applied", "prefix=" + prefix + " " + contents.describe(), e);
-            follower.recordFailed(nowNanos);
+        } finally {
+            if (!isHandled) {
+                follower.recordFailed(nowNanos);
+            }
         }
     }
 
@@ -237,7 +252,8 @@
 
     /** Sends each follower what it lacks, and then to all what is held here. */
     private void tellOthers() {
-        if (!peers.isController() || !contents.canBeTold()) {
+        recordControl(peers.isController());
+        if (!isController || !contents.canBeTold()) {
             mustReport = false;
             return;
         }
@@ -262,6 +278,17 @@
         }
     }
 
+    /**
+     * Records whether this router is the controller. What followers said before it knew that counts; once it has lost
+     * the control, they follow another router and have to say it again.
+     */
+    private void recordControl(boolean isControllerNow) {
+        if (isController && !isControllerNow) {
+            teller.forgetAll();
+        }
+        isController = isControllerNow;
+    }
+
     private void reportAge() {
         if (follower.currentNanos() != currentNanos) {
             currentNanos = follower.currentNanos();
