StoreClient: a replaced watch ends also while its response arrives, and a listing of many pages ends

Cause: a watch was abandoned only before its response began, so the listing that replaced it waited for up to 8 s behind a response that arrived byte by byte. The pages of a listing had 8.6 s each and no bound together. Change: an abandoned watch ends within 100 ms in either case, and its connection is closed. No further page is requested 8.6 s after the start of a listing, so it ends within 17.2 s whatever the store does; told updates are applied meanwhile. Result: ThreadedStoreReaderTest, 5 cases, pass. On the code before, shouldListInTimeInsteadOfAWatchThatStalls failed for a response that had begun (limit 700 ms), and shouldEndAListingWhosePagesNeverEnd had no end after 12 s.

--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpCall.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpCall.java
@@ -127,11 +127,6 @@
         hasBegun = true;
     }
 
-    /** Returns whether a part of the response has arrived. */
-    boolean hasBegun() {
-        return hasBegun;
-    }
-
     /** Returns the bytes of the response body that have arrived. */
     long receivedBytes() {
         return receivedBytes.get();
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/StoreClient.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/StoreClient.java
@@ -39,6 +39,8 @@
     private static final long IDLE_TIMEOUT_MILLIS = 600;
     /** Time for the whole response once it has begun, in milliseconds: enough for a megabyte on the slowest links. */
     private static final long BODY_TIMEOUT_MILLIS = 8_000;
+    /** Time after which no further page of a listing is requested, in milliseconds: as for a single response. */
+    private static final long LISTING_TIMEOUT_MILLIS = FIRST_PART_TIMEOUT_MILLIS + BODY_TIMEOUT_MILLIS;
     /** Timeouts of calls that do not wait. */
     private static final CallTimeouts DEFAULT_TIMEOUTS = timeouts(0, FIRST_PART_TIMEOUT_MILLIS);
     /** How much longer than the total timeout of a call its caller waits for the end, in milliseconds. */
@@ -53,12 +55,19 @@
     private final HttpLoop loop;
     private final Address address;
     private final StoreDialect dialect;
+    private final long listingTimeoutMillis;
 
     /** Creates a client of the store at {@code address} that makes its calls on {@code loop}. */
     public StoreClient(HttpLoop loop, Address address, StoreDialect dialect) {
+        this(loop, address, dialect, LISTING_TIMEOUT_MILLIS);
+    }
+
+    /** Creates a client that requests no further page of a listing after {@code listingTimeoutMillis}. */
+    StoreClient(HttpLoop loop, Address address, StoreDialect dialect, long listingTimeoutMillis) {
         this.loop = loop;
         this.address = address;
         this.dialect = dialect;
+        this.listingTimeoutMillis = listingTimeoutMillis;
     }
 
     @Override
@@ -69,10 +78,16 @@
     @Override
     public Listing list(String prefix) {
         List<Item> items = new ArrayList<>();
+        long startNanos = System.nanoTime();
         StoreDialect.Page page = dialect.readPage(call(dialect.list(prefix, "")));
         long revision = page.listing().revision();
         items.addAll(page.listing().items());
         while (page.hasMore() && !page.listing().items().isEmpty()) {
+            if (System.nanoTime() - startNanos >= listingTimeoutMillis * 1_000_000L) {
+                String detail = "%s: %d items listed within %d ms, and there are more"
+                        .formatted(prefix, items.size(), listingTimeoutMillis);
+                throw new StoreException(StoreException.Code.UNREACHABLE, detail, null);
+            }
             String last = items.get(items.size() - 1).key();
             page = dialect.readPage(call(dialect.list(prefix, last)));
             items.addAll(page.listing().items());
@@ -186,8 +201,8 @@
         }
 
         /**
-         * Waits for the end of the call; returns empty when {@code isOverdue} held before the response began, after
-         * cancelling the call.
+         * Waits for the end of the call; returns empty when {@code isOverdue} held before the end, after cancelling the
+         * call.
          */
         Optional<HttpCall.End> awaitUnless(BooleanSupplier isOverdue, CallTimeouts timeouts) {
             long endNanos = System.nanoTime() + (timeouts.totalMillis() + END_MARGIN_MILLIS) * 1_000_000L;
@@ -197,7 +212,7 @@
                     if (end != null) {
                         return Optional.of(end);
                     }
-                    if (!call.hasBegun() && isOverdue.getAsBoolean()) {
+                    if (isOverdue.getAsBoolean()) {
                         loop.cancel(call);
                         return Optional.empty();
                     }
