--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/StaleViewLog.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/StaleViewLog.java
@@ -27,7 +27,7 @@
     void record(long ageMillis, String detail) {
         boolean wasStale = maxAgeMillis > 0;
         if (ageMillis > MAX_VIEW_AGE_MILLIS) {
-            maxAgeMillis = ageMillis;
+            maxAgeMillis = Math.max(maxAgeMillis, ageMillis);
             if (!wasStale) {
                 log.report("view-old", "prefix=%s %s ageMillis=%d".formatted(prefix, detail, ageMillis));
             }
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/following/StaleViewLogTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/following/StaleViewLogTest.java
@@ -41,6 +41,15 @@
         assertThat(lines).hasSize(1);
     }
 
+    @Test
+    void shouldReportHowOldTheViewHadBecomeAlthoughItWasYoungerAtLast() {
+        stale.record(4_000, "revision=5");
+        stale.record(2_500, "revision=6");
+        stale.record(10, "revision=7");
+
+        assertThat(lines).last().isEqualTo("view-current prefix=op/ revision=7 afterMillis=4000");
+    }
+
     @Test
     void shouldReportEachTimeThatTheViewBecomesStale() {
         stale.record(2_500, "revision=5");
