--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FollowedView.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FollowedView.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.daisyscale.core.following.ReadRequest;
 import org.daisyscale.core.following.ViewContents;
 import org.daisyscale.core.following.ViewFollower;
@@ -21,7 +20,7 @@
 
 /**
  * One prefix that a router of a test follows. Until its threads are started the test runs the steps of the duty, which
- * read the store in the thread of the test. What is counted may be read by any thread.
+ * read the store in the thread of the test. Whether it is told may be read by any thread.
  */
 final class FollowedView implements AutoCloseable {
     private static final int RING_CAPACITY = 64;
@@ -30,7 +29,6 @@
     private final String prefix;
     private final Ring<FollowEvent> inbox;
     private final FollowDuty duty;
-    private final AtomicInteger readCount = new AtomicInteger();
     private volatile StoreReader reader = this::readInStep;
     private volatile boolean isTold;
     private FollowedPrefix threads;
@@ -60,7 +58,6 @@
     }
 
     private void read(long number, ReadRequest request) {
-        readCount.incrementAndGet();
         reader.start(number, request);
     }
 
@@ -141,11 +138,6 @@
         return isTold;
     }
 
-    /** Returns how often the duty started to read the store. */
-    int readCount() {
-        return readCount.get();
-    }
-
     @Override
     public void close() {
         if (threads != null) {
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FollowingRouter.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FollowingRouter.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.IntStream;
 import org.daisyscale.core.following.ItemView;
 import org.daisyscale.core.following.ViewFollower;
@@ -42,7 +43,8 @@
     private final FollowedView servers;
     private final FollowedView operators;
     private final Map<String, Long> revisionByServer = new ConcurrentHashMap<>();
-    private volatile long version;
+    private final Map<String, List<Long>> revisionsByServer = new ConcurrentHashMap<>();
+    private final List<RoutingTable> tables = new CopyOnWriteArrayList<>();
     private volatile Set<String> evacuatedDataCentres = Set.of();
 
     /** Creates a router that has read nothing and knows no other router. */
@@ -50,7 +52,7 @@
         entry = new RouterEntry(routerId, "127.0.0.1", freePort(), 7, 1);
         Address address = new Address(entry.host(), entry.port());
         link = new ControllerLink(routerId, address, event -> {}, event -> {}, EventLog::info);
-        ItemView serverView = new ItemView(SERVERS, new RevisionListener(revisionByServer));
+        ItemView serverView = new ItemView(SERVERS, new RevisionListener(revisionByServer, revisionsByServer));
         servers = FollowedView.create(store, SERVERS, serverView, createFollower(batchMillis, false), link);
         OperatorState operatorState = new OperatorState(new RoutesDecoder(), this::record, new Readiness());
         operators = FollowedView.create(store, OPERATORS, operatorState, createFollower(batchMillis, true), link);
@@ -68,7 +70,7 @@
 
     private void record(ServingEvent event) {
         if (event instanceof ServingEvent.TableChanged changed) {
-            version = changed.table().version();
+            tables.add(changed.table());
         } else if (event instanceof ServingEvent.EvacuationsChanged changed) {
             evacuatedDataCentres = changed.dataCentres();
         }
@@ -90,6 +92,11 @@
         return version + " " + changedRoutes;
     }
 
+    /** Returns the table of a value of {@link #configuration}. */
+    static RoutingTable table(String configuration) {
+        return RoutesDecoder.read(configuration);
+    }
+
     ControllerLink link() {
         return link;
     }
@@ -139,7 +146,17 @@
 
     /** Returns the version of the known configuration; 0 if there is none. */
     long version() {
-        return version;
+        return tables.isEmpty() ? 0 : tables.get(tables.size() - 1).version();
+    }
+
+    /** Returns all configurations that were in force, in their order. */
+    List<RoutingTable> tables() {
+        return tables;
+    }
+
+    /** Returns the revisions of each server that were known, in their order. */
+    Map<String, List<Long>> revisionsByServer() {
+        return revisionsByServer;
     }
 
     Set<String> evacuatedDataCentres() {
@@ -153,12 +170,16 @@
         link.close();
     }
 
-    /** Records the newest revision of each server. */
-    private record RevisionListener(Map<String, Long> revisionByServer) implements ViewListener {
+    /** Records the revisions of each server. */
+    private record RevisionListener(Map<String, Long> revisionByServer, Map<String, List<Long>> revisionsByServer)
+            implements ViewListener {
 
         @Override
         public void onWritten(Item item, long maxAgeMillis) {
             revisionByServer.put(item.key(), item.revision());
+            revisionsByServer
+                    .computeIfAbsent(item.key(), key -> new CopyOnWriteArrayList<>())
+                    .add(item.revision());
         }
 
         @Override
@@ -191,13 +212,17 @@
             if (!item.key().equals(OPERATORS + "config")) {
                 return Optional.empty();
             }
-            String[] parts = new String(item.value(), StandardCharsets.UTF_8).split(" ", -1);
+            return Optional.of(read(new String(item.value(), StandardCharsets.UTF_8)));
+        }
+
+        private static RoutingTable read(String configuration) {
+            String[] parts = configuration.split(" ", -1);
             long version = Long.parseLong(parts[0]);
             int changedRoutes = Integer.parseInt(parts[1]);
             List<Route> routes = IntStream.range(0, ROUTE_COUNT)
                     .mapToObj(index -> route(index, index < changedRoutes ? version : 1))
                     .toList();
-            return Optional.of(new RoutingTable(version, routes, Map.of(), LIMITS));
+            return new RoutingTable(version, routes, Map.of(), LIMITS);
         }
 
         private static Route route(int index, long timeoutMillis) {
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ToldConfigurationsTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ToldConfigurationsTest.java
@@ -4,13 +4,20 @@
 import static org.daisyscale.router.internal.serving.FollowingRouters.await;
 import static org.daisyscale.router.internal.serving.FollowingRouters.holdsInTime;
 
+import java.io.DataOutputStream;
 import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.NavigableMap;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
+import org.daisyscale.codec.peer.HandshakeCodec;
+import org.daisyscale.codec.peer.HandshakeMessage;
+import org.daisyscale.codec.peer.PeerCodec;
 import org.daisyscale.core.following.ViewFollower;
+import org.daisyscale.router.internal.duty.DutyThread;
 import org.daisyscale.router.internal.following.FollowEvent;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -275,4 +282,43 @@
                             System.nanoTime() - writtenNanos < FollowingRouters.LIMIT_MILLIS * 1_000_000L);
         }
     }
+
+    /** Guards against a router that follows nobody because the controller runs a release with another protocol. */
+    @Test
+    void shouldReadVersionsFromTheStoreWhileTheControllerIsOfAnotherRelease() throws Exception {
+        SharedStore waitingStore = new SharedStore(FollowingRouters.LONG_WATCH_MILLIS);
+        waitingStore.put(CONFIGURATION, FollowingRouter.configuration(1, 1));
+        FollowingRouter router = routers.open("r2", waitingStore, FollowingRouters.BATCH_MILLIS);
+        try (ServerSocket listener = new ServerSocket(0);
+                DutyThread unused = DutyThread.start("other-release", () -> refuseConnection(listener))) {
+            RouterEntry controller = new RouterEntry("r1", "127.0.0.1", listener.getLocalPort(), 7, 1);
+            router.link().addRouter(controller);
+            router.link().setController(controller);
+            router.link().startNetwork("a secret of the test");
+            router.startOperators();
+            await(() -> router.version() == 1);
+
+            for (long version = 2; version <= 10; version++) {
+                long newest = version;
+                waitingStore.put(CONFIGURATION, FollowingRouter.configuration(version, 1));
+
+                assertThat(holdsInTime(() -> router.version() == newest)).isTrue();
+            }
+        }
+    }
+
+    /** Answers a connection like a router of another release, which cannot read its first message. */
+    private static void refuseConnection(ServerSocket listener) {
+        byte[] challenge =
+                new HandshakeCodec().encode(new HandshakeMessage.Challenge("r1", new byte[32], new byte[32]));
+        challenge[1] = PeerCodec.PROTOCOL_VERSION - 1;
+        try (Socket socket = listener.accept()) {
+            DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+            out.writeInt(challenge.length);
+            out.write(challenge);
+            socket.getInputStream().read();
+        } catch (IOException e) {
+            // The test is over, or the router closed the connection first.
+        }
+    }
 }
