--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/DirectRequestRouter.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/DirectRequestRouter.java
@@ -63,8 +63,8 @@
     private void applyRouters(ServingEvent event, long nowNanos) {
         if (event instanceof ServingEvent.RoutersChanged changed) {
             fleet.routers().replace(changed.routerIds(), nowNanos);
-        } else if (event instanceof ServingEvent.RoutersConfirmed) {
-            fleet.routers().confirm(nowNanos);
+        } else if (event instanceof ServingEvent.RoutersConfirmed confirmed) {
+            fleet.routers().confirm(confirmed.confirmedNanos());
         } else if (event instanceof ServingEvent.RegistrationRenewed renewed) {
             fleet.routers().recordRegistration(renewed.sinceNanos(), renewed.untilNanos());
         }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RouterMembership.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RouterMembership.java
@@ -45,10 +45,12 @@
         leftNanosById.keySet().removeAll(present);
     }
 
-    /** Records that the current set contains all routers that are registered now. */
-    void confirm(long nowNanos) {
-        isConfirmed = true;
-        confirmedNanos = nowNanos;
+    /** Records that the current set contains all routers that were registered at {@code nanos}. */
+    void confirm(long nanos) {
+        if (!isConfirmed || nanos - confirmedNanos > 0) {
+            isConfirmed = true;
+            confirmedNanos = nanos;
+        }
     }
 
     /** Records that this router is registered from {@code sinceNanos} until {@code untilNanos} at least. */
--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingEvent.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingEvent.java
@@ -115,8 +115,12 @@
         }
     }
 
-    /** The last {@link RoutersChanged} was confirmed to list all routers that were registered a moment ago. */
-    record RoutersConfirmed() implements ServingEvent {}
+    /**
+     * The last {@link RoutersChanged} was confirmed to list all routers that were registered.
+     *
+     * @param confirmedNanos when it was known to list them, by the monotonic clock
+     */
+    record RoutersConfirmed(long confirmedNanos) implements ServingEvent {}
 
     /**
      * This router's registration, by which the other routers know of it, was made or renewed.
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/FleetReplay.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/FleetReplay.java
@@ -88,7 +88,7 @@
     private void renewRegistrations() {
         broadcast(new ServingEvent.RegistrationRenewed(
                 time.nowNanos() - REGISTRATION_VALID_NANOS, time.nowNanos() + REGISTRATION_VALID_NANOS));
-        broadcast(new ServingEvent.RoutersConfirmed());
+        broadcast(new ServingEvent.RoutersConfirmed(time.nowNanos()));
         time.after(REGISTRATION_PERIOD_MILLIS, this::renewRegistrations);
     }
 
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/ColdAgainTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/ColdAgainTest.java
@@ -80,7 +80,7 @@
                 answers.remove(0).run();
             }
             RequestRouter router = routers.get((int) (lastRequestId % routers.size()));
-            handle(router, new ServingEvent.RoutersConfirmed());
+            handle(router, new ServingEvent.RoutersConfirmed(nowNanos));
             long requestId = ++lastRequestId;
             if (isSent(router, requestId)) {
                 dueNanos.add(nowNanos + SERVICE_MILLIS * MILLI);
@@ -141,7 +141,7 @@
     @Test
     void shouldNotCheckAServerThatGetsLessThanAColdOneMay() {
         startRouters(1, true);
-        handle(routers.get(0), new ServingEvent.RoutersConfirmed());
+        handle(routers.get(0), new ServingEvent.RoutersConfirmed(nowNanos));
         RequestHead head = new RequestHead("h", "/x", 1_500, RequestHead.NO_KEY, 0, "id");
 
         List<ServingAction> actions = handle(routers.get(0), new ServingEvent.RequestArrived(1, head, nowNanos));
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/ColdServerQuotaTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/ColdServerQuotaTest.java
@@ -47,7 +47,7 @@
     private void joinAll() {
         handleAtAll(new ServingEvent.RoutersChanged(ROUTER_IDS));
         handleAtAll(new ServingEvent.RegistrationRenewed(nowNanos - 10_000 * MILLI, nowNanos + 1_300 * MILLI));
-        handleAtAll(new ServingEvent.RoutersConfirmed());
+        handleAtAll(new ServingEvent.RoutersConfirmed(nowNanos));
     }
 
     private void register(long coldMillis) {
@@ -116,7 +116,7 @@
         register(5_000);
 
         nowNanos += 1_300 * MILLI;
-        handleAtAll(new ServingEvent.RoutersConfirmed());
+        handleAtAll(new ServingEvent.RoutersConfirmed(nowNanos));
 
         assertThat(sentBy(ROUTER_IDS)).isZero();
     }
@@ -128,7 +128,22 @@
         register(5_000);
 
         nowNanos += 2_000 * MILLI;
-        handleAtAll(new ServingEvent.RegistrationRenewed(1, nowNanos + 1_300 * MILLI));
+        handleAtAll(new ServingEvent.RegistrationRenewed(nowNanos - 10_000 * MILLI, nowNanos + 1_300 * MILLI));
+
+        assertThat(sentBy(ROUTER_IDS)).isZero();
+    }
+
+    /** Guards against ages that lie: a list that was complete long ago counted as complete when that was handled. */
+    @Test
+    void shouldSendNothingToAColdServerWhenItLearnsLateThatTheRouterListWasComplete() {
+        useTable();
+        joinAll();
+        register(5_000);
+        long completeNanos = nowNanos;
+
+        nowNanos += 2_000 * MILLI;
+        handleAtAll(new ServingEvent.RegistrationRenewed(nowNanos - 10_000 * MILLI, nowNanos + 1_300 * MILLI));
+        handleAtAll(new ServingEvent.RoutersConfirmed(completeNanos));
 
         assertThat(sentBy(ROUTER_IDS)).isZero();
     }
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/CrashingRequestTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/CrashingRequestTest.java
@@ -32,7 +32,7 @@
                 new Route("read", "h", "/", true, 800, 400, 1, 2, List.of(new Route.WeightedService("pooled", 1)));
         for (RequestRouter router : routers) {
             handle(router, new ServingEvent.RegistrationRenewed(nowNanos - 10_000 * MILLI, Long.MAX_VALUE / 2));
-            handle(router, new ServingEvent.RoutersConfirmed());
+            handle(router, new ServingEvent.RoutersConfirmed(nowNanos));
             handle(
                     router,
                     new ServingEvent.TableChanged(new RoutingTable(
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/RequestRouterTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/RequestRouterTest.java
@@ -61,7 +61,7 @@
     /** Registers this router long enough ago that all routers count each other. */
     private void join() {
         handle(new ServingEvent.RegistrationRenewed(nowNanos - 10_000 * MILLI, nowNanos + 1_000 * MILLI));
-        handle(new ServingEvent.RoutersConfirmed());
+        handle(new ServingEvent.RoutersConfirmed(nowNanos));
     }
 
     private void addServers(String... ids) {
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/ServerNoticeTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/ServerNoticeTest.java
@@ -67,7 +67,7 @@
     }
 
     private List<ServingAction> arrive(String path, int key) {
-        handle(new ServingEvent.RoutersConfirmed());
+        handle(new ServingEvent.RoutersConfirmed(nowNanos));
         RequestHead head = new RequestHead("h", path, 1_500, key, 0, "id");
         return handle(new ServingEvent.RequestArrived(++lastRequestId, head, nowNanos));
     }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetListeners.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetListeners.java
@@ -35,9 +35,9 @@
         this.readiness = readiness;
     }
 
-    /** Reports that the routers published last are all that are registered. */
-    void confirmRouters() {
-        servingEvents.accept(new ServingEvent.RoutersConfirmed());
+    /** Reports that the routers published last are all that were registered at {@code nanos}. */
+    void confirmRouters(long nanos) {
+        servingEvents.accept(new ServingEvent.RoutersConfirmed(nanos));
     }
 
     private void publishToBoth(ServingEvent event) {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -180,7 +180,7 @@
         ViewListener listener =
                 listeners.createRouterListener(settings.serving().routerId(), lease, controller);
         ItemView view = new ItemView(StoreKeys.PREFIX, listener);
-        return follow(store, StoreKeys.PREFIX, controller, view, false, nanos -> listeners.confirmRouters());
+        return follow(store, StoreKeys.PREFIX, controller, view, false, listeners::confirmRouters);
     }
 
     /**
