Core: send a waiting request only to its owner after its service was dropped

What would happen: a request with a key that waits while its range moves was placed like one without a key once a configuration no longer had its service, and was sent to whichever server had the shortest wait. Without rules the router doesn't know whether a service is sharded, and took that for no.

A service that has a key map is sharded while it has no rules.

--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/FleetView.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/FleetView.java
@@ -94,6 +94,14 @@
         return Optional.ofNullable(keyMapByService.get(service));
     }
 
+    /**
+     * Returns whether the keys of {@code service} have owners; a service that is no longer configured while requests
+     * for it are open keeps its key map.
+     */
+    boolean isSharded(String service) {
+        return rules(service).map(ServiceRules::isSharded).orElseGet(() -> keyMapByService.containsKey(service));
+    }
+
     RouterMembership routers() {
         return routers;
     }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
@@ -15,7 +15,6 @@
 import org.daisyscale.core.serving.RequestHead;
 import org.daisyscale.core.serving.Route;
 import org.daisyscale.core.serving.RoutingTable;
-import org.daisyscale.core.serving.ServiceRules;
 import org.daisyscale.core.serving.ServingAction;
 import org.daisyscale.core.serving.ServingEvent;
 
@@ -209,8 +208,7 @@
     }
 
     private boolean isKeyed(OpenRequest request) {
-        return request.head().key() != RequestHead.NO_KEY
-                && fleet.rules(request.service()).map(ServiceRules::isSharded).orElse(false);
+        return request.head().key() != RequestHead.NO_KEY && fleet.isSharded(request.service());
     }
 
     private void sendOrReject(OpenRequest request, ServerView view, long nowNanos) {
