--- a/daisyscale-codec/src/test/java/org/daisyscale/codec/peer/PeerCodecTest.java
+++ b/daisyscale-codec/src/test/java/org/daisyscale/codec/peer/PeerCodecTest.java
@@ -100,7 +100,7 @@
     void shouldKeepAReportAndItsAnswerSmallEnoughToSendAfterEachRead() {
         ViewVersion version = new ViewVersion(1_000_000, Long.MIN_VALUE);
 
-        byte[] report = codec.encode(new PeerMessage.ViewReport("servers/", version));
+        byte[] report = codec.encode(new PeerMessage.ViewReport("servers/", version, 3));
         byte[] held = codec.encode(new PeerMessage.ViewHeld("servers/", version, true));
 
         assertThat(report).hasSizeLessThanOrEqualTo(REPORT_LIMIT_BYTES);
--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewAge.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewAge.java
@@ -38,11 +38,14 @@
         removeReached(report -> report.isReachedBy(held));
     }
 
-    /** Records a report of the same items as are held; the view is current unless it lacks what was reported before. */
-    void recordMatching(ViewVersion reported, long nowNanos) {
+    /**
+     * Records a report of the same items as are held, which the store proved at {@code nanos}; the view is current
+     * unless it lacks what was reported before.
+     */
+    void recordMatching(ViewVersion reported, long nanos) {
         removeReached(report -> report.isReachedBy(reported));
         if (missedReports.isEmpty()) {
-            markCurrent(nowNanos);
+            markCurrent(nanos);
         }
     }
 
--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewFollower.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewFollower.java
@@ -72,17 +72,19 @@
     }
 
     /**
-     * Records that {@code reporter} has just read the store and holds {@code reported}.
+     * Records that {@code reporter} has read the store and holds {@code reported}.
      *
+     * @param ageMillis the time from when the store proved that until the report was sent, in milliseconds
+     * @param nowNanos when the report arrived
      * @return whether this router holds the same items, so that it has what the reporter has up to that revision
      */
-    public boolean hear(Teller reporter, ViewVersion reported, long nowNanos) {
+    public boolean hear(Teller reporter, ViewVersion reported, long ageMillis, long nowNanos) {
         dialogue.recordHeard(reporter, nowNanos);
         if (isKnown && reported.hasSameItems(held)) {
             held = new ViewVersion(Math.max(held.revision(), reported.revision()), held.digest());
             needsListing = false;
             dialogue.recordMatching();
-            age.recordMatching(reported, nowNanos);
+            age.recordMatching(reported, nowNanos - Deadlines.nanos(ageMillis));
             return true;
         }
         if (reported.revision() >= held.revision()) {
--- a/daisyscale-core/src/main/java/org/daisyscale/core/peer/PeerMessage.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/peer/PeerMessage.java
@@ -304,8 +304,9 @@
      *
      * @param prefix the key prefix
      * @param version the version of the controller's view
+     * @param ageMillis the time since the store proved that version, in milliseconds
      */
-    record ViewReport(String prefix, ViewVersion version) implements PeerMessage {}
+    record ViewReport(String prefix, ViewVersion version, long ageMillis) implements PeerMessage {}
 
     /**
      * Says what the sender holds of a prefix: acknowledges updates up to it, and asks for the difference to the
--- a/daisyscale-core/src/test/java/org/daisyscale/core/following/AgeThatLiesTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/following/AgeThatLiesTest.java
@@ -28,10 +28,10 @@
     @Test
     void shouldKeepAGapThatALaterControllerHasNotReadYet() {
         listInMillis(HELD, 5);
-        follower.hear(FIRST, new ViewVersion(20, 222), nowNanos);
+        follower.hear(FIRST, new ViewVersion(20, 222), 0, nowNanos);
         advance(100);
 
-        follower.hear(SECOND, new ViewVersion(12, HELD.digest()), nowNanos);
+        follower.hear(SECOND, new ViewVersion(12, HELD.digest()), 0, nowNanos);
 
         assertThat(follower.isBehind()).isTrue();
         assertThat(follower.ageMillis(nowNanos)).isGreaterThanOrEqualTo(100);
@@ -40,10 +40,10 @@
     @Test
     void shouldCloseAGapByALaterReportOfTheSameItems() {
         listInMillis(HELD, 5);
-        follower.hear(FIRST, new ViewVersion(20, 222), nowNanos);
+        follower.hear(FIRST, new ViewVersion(20, 222), 0, nowNanos);
         advance(100);
 
-        follower.hear(FIRST, new ViewVersion(21, HELD.digest()), nowNanos);
+        follower.hear(FIRST, new ViewVersion(21, HELD.digest()), 0, nowNanos);
 
         assertThat(follower.isBehind()).isFalse();
         assertThat(follower.ageMillis(nowNanos)).isZero();
@@ -80,4 +80,14 @@
         assertThat(step.read().get().kind()).isEqualTo(ReadRequest.Kind.LIST);
         assertThat((nowNanos - startedNanos) / MILLIS).isLessThanOrEqualTo(ViewFollower.CONTROLLER_OVERDUE_MILLIS + 1);
     }
+
+    @Test
+    void shouldBeAsOldAsTheReportOfTheSameItems() {
+        listInMillis(HELD, 5);
+        advance(900);
+
+        follower.hear(FIRST, new ViewVersion(12, HELD.digest()), 600, nowNanos);
+
+        assertThat(follower.ageMillis(nowNanos)).isEqualTo(600);
+    }
 }
--- a/daisyscale-core/src/test/java/org/daisyscale/core/following/FollowerDriver.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/following/FollowerDriver.java
@@ -72,7 +72,7 @@
     }
 
     boolean hear(long revision) {
-        return follower.hear(TELLER, version(revision), nowNanos);
+        return follower.hear(TELLER, version(revision), 0, nowNanos);
     }
 
     /** Lists the prefix at {@code revision} when nothing is known. */
--- a/daisyscale-core/src/test/java/org/daisyscale/core/following/ViewFollowerDialogueTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/following/ViewFollowerDialogueTest.java
@@ -56,7 +56,7 @@
         driver.list(7);
         for (Teller teller :
                 List.of(FollowerDriver.TELLER, FollowerDriver.TELLER, new Teller("r1", 2), new Teller("r2", 3))) {
-            driver.follower().hear(teller, FollowerDriver.version(7), driver.nowNanos());
+            driver.follower().hear(teller, FollowerDriver.version(7), 0, driver.nowNanos());
             driver.step();
         }
 
@@ -147,6 +147,7 @@
                 .hear(
                         FollowerDriver.TELLER,
                         new ViewVersion(9, FollowerDriver.version(7).digest()),
+                        0,
                         driver.nowNanos());
         driver.step();
 
--- a/daisyscale-core/src/test/java/org/daisyscale/core/following/ViewFollowerReadsTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/following/ViewFollowerReadsTest.java
@@ -184,7 +184,7 @@
             ViewFollower other = new ViewFollower(new SplittableRandom(seed), FollowerDriver.BATCH_MILLIS, false, 0);
             other.next(false, 0);
             other.recordRead(FollowerDriver.version(7), 0, true, 0);
-            other.hear(FollowerDriver.TELLER, FollowerDriver.version(7), 0);
+            other.hear(FollowerDriver.TELLER, FollowerDriver.version(7), 0, 0);
             long millis = 0;
             while (other.next(false, millis * FollowerDriver.MILLIS).read().isEmpty()) {
                 millis++;
--- a/daisyscale-core/src/test/java/org/daisyscale/core/following/ViewFollowerTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/following/ViewFollowerTest.java
@@ -123,7 +123,7 @@
     @Test
     void shouldBecomeCurrentByAReadAtTheRevisionOfAReportOfOtherItems() {
         driver.follow(7);
-        driver.follower().hear(FollowerDriver.TELLER, new ViewVersion(7, 71), driver.nowNanos());
+        driver.follower().hear(FollowerDriver.TELLER, new ViewVersion(7, 71), 0, driver.nowNanos());
         driver.advance(ViewFollower.TOLD_OVERDUE_MILLIS + ViewFollower.READ_SPREAD_MILLIS);
 
         driver.follower().recordRead(FollowerDriver.version(7), 0, true, driver.nowNanos());
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/FollowDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/FollowDuty.java
@@ -159,7 +159,7 @@
     }
 
     private void handleReport(FollowEvent.Reported reported, long nowNanos) {
-        if (follower.hear(reported.teller(), reported.version(), nowNanos)) {
+        if (follower.hear(reported.teller(), reported.version(), reported.ageMillis(), nowNanos)) {
             contents.confirm(reported.version().revision());
             reachability.recordConfirmed(contents.version().revision());
             recordCaughtUp();
@@ -283,7 +283,7 @@
         }
         if (mustReport) {
             mustReport = false;
-            peers.broadcast(new PeerMessage.ViewReport(prefix, own));
+            peers.broadcast(new PeerMessage.ViewReport(prefix, own, follower.ageMillis(clockNanos.getAsLong())));
         }
     }
 
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/FollowEvent.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/FollowEvent.java
@@ -16,8 +16,9 @@
      *
      * @param teller the controller
      * @param version what it holds
+     * @param ageMillis the time from when the store proved that until the report was sent, in milliseconds
      */
-    record Reported(Teller teller, ViewVersion version) implements FollowEvent {}
+    record Reported(Teller teller, ViewVersion version, long ageMillis) implements FollowEvent {}
 
     /**
      * The controller sent an update.
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
@@ -267,7 +267,7 @@
             offer(held.prefix(), new FollowEvent.Held(from, held.version(), held.needsWhole()));
         } else if (message instanceof PeerMessage.ViewReport report && isControlledBy(from)) {
             Teller teller = new Teller(from, connectionByPeer.getOrDefault(from, 0L));
-            offer(report.prefix(), new FollowEvent.Reported(teller, report.version()));
+            offer(report.prefix(), new FollowEvent.Reported(teller, report.version(), report.ageMillis()));
         } else if (message instanceof PeerMessage.ViewUpdated updated && isControlledBy(from)) {
             offer(updated.update().prefix(), new FollowEvent.Updated(from, updated.update()));
         }
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/following/OutageThatEndedUnseenTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/following/OutageThatEndedUnseenTest.java
@@ -71,7 +71,7 @@
         long endNanos = nowNanos + millis * MILLIS;
         while (nowNanos - endNanos < 0) {
             inbox.offer(new FollowEvent.Reported(
-                    CONTROLLER, new ViewVersion(revision, view.version().digest())));
+                    CONTROLLER, new ViewVersion(revision, view.version().digest()), 0));
             step();
             nowNanos += 500 * MILLIS;
         }
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/peer/PeerOutboxTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/peer/PeerOutboxTest.java
@@ -95,10 +95,10 @@
     @Test
     void shouldKeepOnlyTheNewestReportOfEachPrefix() {
         PeerOutbox outbox = openOutbox();
-        ViewReport newestOfServers = new ViewReport("servers/", new ViewVersion(7, 70));
-        ViewReport ofRouters = new ViewReport("routers/", new ViewVersion(5, 50));
+        ViewReport newestOfServers = new ViewReport("servers/", new ViewVersion(7, 70), 0);
+        ViewReport ofRouters = new ViewReport("routers/", new ViewVersion(5, 50), 0);
 
-        outbox.offer(new ViewReport("servers/", new ViewVersion(5, 50)));
+        outbox.offer(new ViewReport("servers/", new ViewVersion(5, 50), 0));
         outbox.offer(ofRouters);
         outbox.offer(newestOfServers);
 
@@ -123,9 +123,9 @@
     void shouldSendAnUpdateAlthoughItsReportTakesThePlaceOfAnOlderReportBeforeIt() {
         PeerOutbox outbox = openOutbox();
         ViewUpdated update = update("servers/", 7, Set.of("servers/b"));
-        ViewReport newest = new ViewReport("servers/", new ViewVersion(7, 70));
+        ViewReport newest = new ViewReport("servers/", new ViewVersion(7, 70), 0);
 
-        outbox.offer(new ViewReport("servers/", new ViewVersion(5, 50)));
+        outbox.offer(new ViewReport("servers/", new ViewVersion(5, 50), 0));
         outbox.offer(update);
         outbox.offer(newest);
 
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ControllerLinkTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ControllerLinkTest.java
@@ -164,7 +164,7 @@
     }
 
     private static ViewReport report(long revision) {
-        return new ViewReport(PREFIX, new ViewVersion(revision, revision));
+        return new ViewReport(PREFIX, new ViewVersion(revision, revision), 40);
     }
 
     private static ViewUpdated update(long revision) {
@@ -245,7 +245,7 @@
             assertThat(count).isEqualTo(1);
             assertThat(reported)
                     .isEqualTo(new FollowEvent.Reported(
-                            new Teller("r1", 1), report(3).version()));
+                            new Teller("r1", 1), report(3).version(), report(3).ageMillis()));
             assertThat(next(inbox))
                     .isEqualTo(new FollowEvent.Updated("r1", update(4).update()));
         }
@@ -356,7 +356,7 @@
             receiver.setController(controller);
             connect(controller, sender, other, receiver);
 
-            sender.broadcast(new ViewReport("unknown/", new ViewVersion(3, 3)));
+            sender.broadcast(new ViewReport("unknown/", new ViewVersion(3, 3), 0));
             sender.broadcast(report(4));
 
             assertThat(next(inbox)).isInstanceOf(FollowEvent.Reported.class);
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ControllerView.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ControllerView.java
@@ -42,7 +42,7 @@
 
     /** Returns the report that the controller has just read the store. */
     FollowEvent report() {
-        return new FollowEvent.Reported(new Teller(CONTROLLER, 1), contents.version());
+        return new FollowEvent.Reported(new Teller(CONTROLLER, 1), contents.version(), 0);
     }
 
     /** Returns the update for a router that holds everything up to {@code revision}. */
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/DeliveryUnderFaultsTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/DeliveryUnderFaultsTest.java
@@ -219,8 +219,8 @@
             ViewVersion invented = new ViewVersion(random.nextLong(1_000), random.nextLong());
             for (FollowingRouter router : others) {
                 String routerId = router.entry().routerId();
-                former.link().send(routerId, new PeerMessage.ViewReport(FollowingRouter.OPERATORS, invented));
-                former.link().send(routerId, new PeerMessage.ViewReport(FollowingRouter.SERVERS, invented));
+                former.link().send(routerId, new PeerMessage.ViewReport(FollowingRouter.OPERATORS, invented, 0));
+                former.link().send(routerId, new PeerMessage.ViewReport(FollowingRouter.SERVERS, invented, 0));
             }
             Thread.sleep(MIN_CUT_MILLIS);
         }
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FollowServersTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FollowServersTest.java
@@ -350,6 +350,8 @@
         assertThat(peers.updates())
                 .containsExactly(new ViewUpdate(
                         "servers/", controller.list(6).version(), false, List.of(), Set.of("servers/a"), List.of()));
-        assertThat(peers.broadcasts()).last().isEqualTo(new PeerMessage.ViewReport("servers/", controller.version()));
+        assertThat(peers.broadcasts())
+                .last()
+                .isEqualTo(new PeerMessage.ViewReport("servers/", controller.version(), 0));
     }
 }
