--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
@@ -48,8 +48,10 @@
     private final EventReporter log;
     private final Ring<Event> peerEvents = new ArrayRing<>("peer-events", RING_CAPACITY);
     private final Map<String, RouterEntry> routerById = new HashMap<>();
-    /** The newest key maps that {@link #mapPublisher} published; changes of another router don't apply to them. */
-    private final Map<String, KeyMap> mapByService = new HashMap<>();
+    /** The key maps that this router published, also before it knew itself as the controller. */
+    private final Map<String, KeyMap> publishedByService = new HashMap<>();
+    /** The newest key maps of each other router, by service; a change applies only to a map of the same router. */
+    private final Map<String, Map<String, KeyMap>> receivedByRouter = new HashMap<>();
 
     /** The events of the duties that follow the store, by prefix. */
     private final Map<String, Ring<FollowEvent>> inboxByPrefix = new ConcurrentHashMap<>();
@@ -59,7 +61,6 @@
     private volatile PeerNetwork network;
     private DutyThread reader;
     private volatile RouterEntry controller;
-    private String mapPublisher = "";
     private long connectionCount;
 
     ControllerLink(
@@ -119,8 +120,11 @@
     /** Records {@code newController} as the controller of the keys. */
     synchronized void setController(RouterEntry newController) {
         log.report("controller-seen", "controller=" + newController);
+        if (isController() && !newController.routerId().equals(routerId)) {
+            publishedByService.clear();
+        }
         controller = newController;
-        mapByService.clear();
+        receivedByRouter.keySet().retainAll(Set.of(newController.routerId()));
         updateWantedPeers();
     }
 
@@ -214,7 +218,7 @@
 
     /** Sends {@code map} to all routers, including this one; to routers that have the last one, only what changed. */
     synchronized void publish(KeyMap map) {
-        KeyMap last = mapsOf(routerId).put(map.service(), map);
+        KeyMap last = publishedByService.put(map.service(), map);
         servingEvents.accept(new ServingEvent.KeyMapChanged(map));
         PeerMessage update = last == null
                 ? new PeerMessage.KeyMapUpdate(map)
@@ -231,11 +235,10 @@
             connectionCount++;
             connectionByPeer.put(up.peer(), connectionCount);
             log.report("peer-connected", "peer=" + up.peer());
-            if (isController()) {
-                mapsOf(routerId).values().forEach(map -> send(up.peer(), new PeerMessage.KeyMapUpdate(map)));
-            }
+            publishedByService.values().forEach(map -> send(up.peer(), new PeerMessage.KeyMapUpdate(map)));
         } else if (event instanceof Event.PeerDisconnected down) {
             connectionByPeer.remove(down.peer());
+            receivedByRouter.remove(down.peer());
             log.report("peer-lost", "peer=" + down.peer());
             inboxByPrefix.keySet().forEach(prefix -> offer(prefix, new FollowEvent.FollowerLost(down.peer())));
         } else if (event instanceof Event.PeerMessageReceived received) {
@@ -249,12 +252,12 @@
         } else if (message instanceof FleetNews news) {
             handleNews(from, news, message);
         } else if (message instanceof PeerMessage.KeyMapUpdate update) {
-            mapsOf(from).put(update.map().service(), update.map());
+            receivedFrom(from).put(update.map().service(), update.map());
             servingEvents.accept(new ServingEvent.KeyMapChanged(update.map()));
         } else if (message instanceof PeerMessage.KeyMapChanged changed) {
             apply(from, changed.change());
-        } else if (message instanceof PeerMessage.KeyMapRequest request && mapPublisher.equals(routerId)) {
-            Optional.ofNullable(mapByService.get(request.service()))
+        } else if (message instanceof PeerMessage.KeyMapRequest request) {
+            Optional.ofNullable(publishedByService.get(request.service()))
                     .ifPresent(map -> send(from, new PeerMessage.KeyMapUpdate(map)));
         } else {
             handleView(from, message);
@@ -273,20 +276,15 @@
         }
     }
 
-    /** Returns the newest key maps that {@code publisher} published, by service. */
-    private Map<String, KeyMap> mapsOf(String publisher) {
-        if (!mapPublisher.equals(publisher)) {
-            mapPublisher = publisher;
-            mapByService.clear();
-        }
-        return mapByService;
+    private Map<String, KeyMap> receivedFrom(String publisher) {
+        return receivedByRouter.computeIfAbsent(publisher, id -> new HashMap<>());
     }
 
     private void apply(String from, KeyMapChange change) {
-        KeyMap known = mapsOf(from).get(change.service());
+        KeyMap known = receivedFrom(from).get(change.service());
         if (known != null && change.appliesTo(known)) {
             KeyMap next = change.applyTo(known);
-            mapByService.put(change.service(), next);
+            receivedFrom(from).put(change.service(), next);
             servingEvents.accept(new ServingEvent.KeyMapChanged(next));
         } else if (known == null || change.version() >= known.version()) {
             send(from, new PeerMessage.KeyMapRequest(change.service()));
