OperatorState: routers that kept different tables before one that can't be decoded agree

The router keeps the newer table and its revision, so no update leads it to the controller's digest: it asks for the whole view each 300 ms and counts as behind until the next configuration. Change: such a router takes over the revision that the controller names; the newer table stays in force.

--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorState.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorState.java
@@ -45,7 +45,12 @@
     private final RoutingTableHistory history = new RoutingTableHistory();
     private final Set<String> dataCentres = new HashSet<>();
     private RoutingTable table;
+    /**
+     * The revision of the newest configuration that could be decoded. Routers that read different ones before one that
+     * can't be decoded agree on that of the controller, so that they hold the same; a newer table stays in force.
+     */
     private long tableRevision;
+
     private Set<String> evacuatedDataCentres = Set.of();
 
     OperatorState(FleetDecoder decoder, Consumer<ServingEvent> events, Readiness readiness) {
@@ -95,8 +100,8 @@
             return UpdateResult.OLDER;
         }
         UpdateResult result = items.check(itemsUpdate);
-        boolean lacksOnlyTable = itemsUpdate.version().hasSameItems(items.version()) && !isTableHeld(update);
-        boolean isUsable = result == UpdateResult.APPLIED || lacksOnlyTable;
+        boolean differsOnlyInTable = itemsUpdate.version().hasSameItems(items.version()) && !isTableHeld(update);
+        boolean isUsable = result == UpdateResult.APPLIED || differsOnlyInTable;
         if (!isUsable) {
             return result;
         }
@@ -106,7 +111,7 @@
     }
 
     private boolean isTableHeld(ViewUpdate update) {
-        return update.tables().stream().allMatch(change -> change.revision() <= tableRevision);
+        return update.tables().stream().allMatch(change -> change.revision() == tableRevision);
     }
 
     private boolean appliesHere(TableUpdate update) {
@@ -140,7 +145,7 @@
             RoutingTable newer = table == null ? change.toTable() : change.applyTo(table);
             applyTable(newer, update.revision(), ConfigurationSource.fromController(controllerId, update.revision()));
         }
-        tableRevision = Math.max(tableRevision, update.revision());
+        tableRevision = update.revision();
     }
 
     private long heldVersion() {
