Router: end a call whose server sends without end before its response

What would happen: a faulty server that sends informational responses, responses to other calls, the body of one, or bytes of another protocol without end was read at full speed until the call timed out. Nothing of it was kept, but the one thread of all calls spent its time on it.

What precedes a response is limited to the size of one response.

--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
@@ -23,8 +23,8 @@
 /**
  * A persistent connection that carries one call at a time. Responses to other calls are skipped. The connection is
  * closed and never reused when bytes arrive while no call is in flight, when a response that names no request follows
- * an earlier response, when a response is too large, when a response ends before the whole request was sent, and on any
- * other failure. Not thread-safe; confined to the thread of its event loop.
+ * an earlier response, when a response or what is skipped before it is too large, when a response ends before the whole
+ * request was sent, and on any other failure. Not thread-safe; confined to the thread of its event loop.
  */
 final class HttpConnection extends SimpleChannelInboundHandler<HttpObject> {
     /**
@@ -39,6 +39,8 @@
     private static final double KEEP_ALIVE_FRACTION = 0.7;
     /** Limit of the body of one response, in bytes. */
     private static final int MAX_RESPONSE_BYTES = 16 << 20;
+    /** Limit of what is received before the response to a call, in bytes: a whole response to an earlier call. */
+    private static final int MAX_SKIPPED_BYTES = MAX_RESPONSE_BYTES;
 
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
 
@@ -49,6 +51,7 @@
     private HttpResponse head;
     private ByteArrayOutputStream body;
     private boolean isSkippingResponse;
+    private long skippedBytes;
     private boolean hasSeenResponse;
     private ByteBudget.Reservation reservation;
     private boolean isRequestWritten;
@@ -80,6 +83,7 @@
     void send(HttpCall newCall) {
         call = newCall;
         head = null;
+        skippedBytes = 0;
         isRequestWritten = false;
         call.markWritten(context.channel());
         context.writeAndFlush(newCall.request()).addListener(written -> {
@@ -136,6 +140,19 @@
         fail(HttpCall.Failure.SPOILED, "bytes received while no call is in flight");
     }
 
+    /** Counts {@code bytes} that arrive now; returns whether too many precede the response to the call in flight. */
+    boolean isSkippingTooMuch(int bytes) {
+        if (head == null) {
+            skippedBytes += bytes;
+        }
+        return skippedBytes > MAX_SKIPPED_BYTES;
+    }
+
+    /** Closes the connection after too many bytes arrived before the response to the call in flight. */
+    void closeOnTooManySkippedBytes() {
+        fail(HttpCall.Failure.SPOILED, "more than %d bytes precede the response".formatted(MAX_SKIPPED_BYTES));
+    }
+
     private void handleContent(HttpContent content) {
         if (isBroken || call == null) {
             return;
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/UnexpectedBytesHandler.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/UnexpectedBytesHandler.java
@@ -1,12 +1,13 @@
 package org.daisyscale.router.internal.serving;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.ReferenceCountUtil;
 
 /**
- * Closes a connection on which bytes arrive while no call is in flight, before they are decoded: they may never end.
- * Confined to the thread of its event loop.
+ * Closes a connection on which bytes arrive while no call is in flight, or too many before the response to the call in
+ * flight. It closes it before they are decoded: they may never end. Confined to the thread of its event loop.
  */
 final class UnexpectedBytesHandler extends ChannelInboundHandlerAdapter {
     private final HttpConnection connection;
@@ -20,6 +21,9 @@
         if (connection.isIdle()) {
             ReferenceCountUtil.release(message);
             connection.closeOnUnexpectedBytes();
+        } else if (message instanceof ByteBuf bytes && connection.isSkippingTooMuch(bytes.readableBytes())) {
+            bytes.release();
+            connection.closeOnTooManySkippedBytes();
         } else {
             context.fireChannelRead(message);
         }
