Router tests: no response whose body breaks off anywhere is accepted

HttpLoopTest cut responses within their heads at each byte, and one body with a length; now each cut of a body with a length and of a chunked one, too. Both cases pass.

--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/HttpLoopTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/HttpLoopTest.java
@@ -142,6 +142,21 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 2\r\n\r\nok", "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"})
+    void shouldAcceptNoResponseWhoseBodyIsTruncatedAnywhere(String framing) throws Exception {
+        String response = "HTTP/1.1 200 OK\r\nId: a\r\n" + framing;
+        for (int length = response.indexOf("\r\n\r\n") + 4; length < response.length(); length++) {
+            BlockingQueue<End> ends = call("a", 2_000);
+            try (Socket socket = listener.accept()) {
+                readRequest(socket);
+                write(socket, response.substring(0, length));
+            }
+
+            assertThat(end(ends).failure()).as("cut after " + length).isEqualTo(Failure.SPOILED);
+        }
+    }
+
     @Test
     void shouldReportAResponseWithoutLengthAsSpoiledWhenItsConnectionIsReset() throws Exception {
         BlockingQueue<End> ends = call("a", 2_000);
