--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/KeyMapAfterHandOverTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/KeyMapAfterHandOverTest.java
@@ -13,7 +13,6 @@
 import org.daisyscale.core.serving.KeyMap;
 import org.daisyscale.core.serving.ServingEvent;
 import org.daisyscale.router.serving.ServingRouterSettings.Address;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a controller that no longer answers for its key maps because its predecessor published once more. */
@@ -64,7 +63,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void shouldSendItsMapsToARouterThatConnectsAfterThePredecessorPublishedOnceMore() throws Exception {
         RouterEntry predecessor = router("r1", 1);
         RouterEntry controller = router("r2", 2);
