--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/TellerDialogue.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/TellerDialogue.java
@@ -20,16 +20,16 @@
     private int repeatCount;
 
     private long saidNanos;
-    private long notBeforeNanos;
+    /** Whether nothing is said before {@link #notBeforeNanos}, since it would have the same answer. */
+    private boolean isPaused;
 
-    TellerDialogue(long nowNanos) {
-        this.notBeforeNanos = nowNanos;
-    }
+    private long notBeforeNanos;
 
     void recordHeard(Teller reporter, long nowNanos) {
         if (!teller.equals(Optional.of(reporter))) {
             teller = Optional.of(reporter);
             hasSaid = false;
+            endPause();
         }
         heardNanos = nowNanos;
     }
@@ -44,20 +44,27 @@
     /** Records that an update of the teller was applied, which has to be acknowledged. */
     void recordApplied() {
         needsWhole = false;
-        repeatCount = 0;
         mustSay = true;
+        endPause();
     }
 
     /** Records that the view changed otherwise; {@code isComplete} says that it lacks nothing. */
     void recordChanged(boolean isComplete) {
         needsWhole = needsWhole && !isComplete;
         mustSay = mustSay || hasSaid;
+        endPause();
     }
 
     /** Records that the teller holds the same items. */
     void recordMatching() {
         mustSay = mustSay || (hasSaid && needsWhole);
         needsWhole = false;
+        endPause();
+    }
+
+    private void endPause() {
+        isPaused = false;
+        repeatCount = 0;
     }
 
     /**
@@ -69,6 +76,7 @@
         needsWhole = isWholeNeeded;
         mustSay = true;
         if (wouldRepeat) {
+            isPaused = true;
             notBeforeNanos = nowNanos + Deadlines.nanos(ViewFollower.ASK_AGAIN_MILLIS << repeatCount);
             repeatCount = Math.min(repeatCount + 1, MAX_REPEAT_DOUBLINGS);
         }
@@ -86,7 +94,7 @@
     /** Returns what to tell now, which then counts as said. */
     Optional<Holding> next(ViewVersion held, ViewAge age, long nowNanos) {
         boolean isDue = !hasSaid || mustSay || isQuestionDue(age, nowNanos);
-        if (!isDue || nowNanos - notBeforeNanos < 0) {
+        if (!isDue || (isPaused && nowNanos - notBeforeNanos < 0)) {
             return Optional.empty();
         }
         hasSaid = true;
--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewFollower.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewFollower.java
@@ -62,7 +62,7 @@
         this.random = random;
         this.isListedWhileChanging = isListedWhileChanging;
         this.age = new ViewAge(nowNanos);
-        this.dialogue = new TellerDialogue(nowNanos);
+        this.dialogue = new TellerDialogue();
         this.reads = new StoreReads(random, batchMillis, nowNanos);
         drawSpread();
     }
