--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ItemView.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ItemView.java
@@ -84,8 +84,9 @@
     private void apply(ItemChange change, ReadCircumstances circumstances) {
         Item known = itemByKey.get(change.key());
         if (change.item().isPresent()) {
-            // The view may have been told meanwhile that an item of a late response is gone.
-            if (known != null || change.revision() > revision) {
+            // The view may have been told meanwhile that an item of a late response is gone, or may lapse.
+            boolean isNewer = known == null ? change.revision() > revision : change.revision() > known.revision();
+            if (isNewer) {
                 write(change.item().get(), circumstances.maxAgeMillis());
             }
         } else if (known == null) {
--- a/daisyscale-core/src/test/java/org/daisyscale/core/following/ItemsThatAreGoneTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/following/ItemsThatAreGoneTest.java
@@ -90,6 +90,18 @@
         assertThat(result).isEqualTo(UpdateResult.OLDER);
     }
 
+    @Test
+    void shouldRemoveALapsedItemAlthoughALateWatchStillHasIt() {
+        view.applyListing(new Listing(List.of(item("servers/x", 12)), 15), CIRCUMSTANCES);
+        view.applyListing(new Listing(List.of(), 20), new ReadCircumstances(0, true));
+
+        ItemChange written = new ItemChange("servers/x", 12, Optional.of(item("servers/x", 12)));
+        view.applyChanges(new Changes(List.of(written), 13), CIRCUMSTANCES);
+        view.removeLapsed();
+
+        assertThat(calls).containsExactly("written servers/x@12", "removed servers/x");
+    }
+
     @Test
     void shouldTakeAnItemThatWasWrittenAnewAfterItWasGone() {
         view.applyListing(new Listing(List.of(item("servers/x", 30)), 40), CIRCUMSTANCES);
