--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewFollower.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewFollower.java
@@ -72,16 +72,19 @@
     }
 
     /**
-     * Records that {@code reporter} has just read the store and holds {@code reported}.
+     * Records that {@code reporter} has read the store and holds {@code reported}.
      *
+     * @param ageMillis the time from when the store proved that until the report was sent, in milliseconds
+     * @param nowNanos when the report arrived
      * @return whether this router holds the same items, so that it has what the reporter has up to that revision
      */
-    public boolean hear(Teller reporter, ViewVersion reported, long nowNanos) {
+    public boolean hear(Teller reporter, ViewVersion reported, long ageMillis, long nowNanos) {
         dialogue.recordHeard(reporter, nowNanos);
         if (isKnown && reported.hasSameItems(held)) {
             held = new ViewVersion(Math.max(held.revision(), reported.revision()), held.digest());
             needsListing = false;
-            age.recordComplete(nowNanos);
+            dialogue.recordMatching();
+            age.recordMatching(reported, nowNanos - Deadlines.nanos(ageMillis));
             return true;
         }
         if (reported.revision() >= held.revision()) {
@@ -103,7 +106,8 @@
         if (result.needsWhole()) {
             dialogue.recordRefused(true, update.isWhole(), nowNanos);
         } else if (!update.version().hasSameItems(held)) {
-            dialogue.recordRefused(false, update.version().revision() >= held.revision(), nowNanos);
+            boolean wouldRepeat = update.version().revision() >= held.revision();
+            dialogue.recordRefused(false, wouldRepeat, nowNanos);
         }
     }
 
@@ -126,7 +130,7 @@
      */
     public void recordRead(ViewVersion newHeld, int changeCount, boolean isComplete, long nowNanos) {
         boolean isChanged = !newHeld.hasSameItems(held);
-        reads.recordResponse(changeCount, nowNanos);
+        long provenNanos = reads.recordResponse(changeCount, isComplete, nowNanos);
         isChangingQuickly = isListedWhileChanging && (changeCount > 1 || (isChangingQuickly && isChanged));
         needsListing = !isComplete;
         isKnown = isKnown || isComplete;
@@ -136,7 +140,7 @@
         drawSpread();
         hold(newHeld);
         if (isComplete) {
-            age.recordRead(nowNanos);
+            age.recordRead(newHeld, provenNanos);
         }
     }
 
@@ -186,7 +190,7 @@
         Optional<Holding> holding = isFollowing ? dialogue.next(held, age, nowNanos) : Optional.empty();
         Optional<ReadRequest> read = isFollowing ? readWhileTold(nowNanos) : readAlone(isController, nowNanos);
         read.ifPresent(request -> reads.recordStarted(request, nowNanos));
-        return new FollowStep(holding, read, waitMillis(isFollowing, nowNanos));
+        return new FollowStep(holding, read, waitMillis(isController, isFollowing, nowNanos));
     }
 
     /** Returns the read that is needed although the controller is heard. */
@@ -205,11 +209,14 @@
 
     /** Returns the listing to start instead of a pending watch whose response seems lost. */
     private Optional<ReadRequest> readInstead(boolean isController, long nowNanos) {
-        long overdueMillis = isController ? CONTROLLER_OVERDUE_MILLIS : ALONE_OVERDUE_MILLIS;
-        boolean isLost = reads.isWatchPending() && !reads.hasStartedWithin(overdueMillis, nowNanos);
+        boolean isLost = reads.isWatchPending() && !reads.hasStartedWithin(overdueMillis(isController), nowNanos);
         return isLost ? Optional.of(list(aloneReason(isController))) : Optional.empty();
     }
 
+    private static long overdueMillis(boolean isController) {
+        return isController ? CONTROLLER_OVERDUE_MILLIS : ALONE_OVERDUE_MILLIS;
+    }
+
     private Optional<ReadRequest> read(boolean isController, long nowNanos) {
         if (!reads.mayStart(nowNanos)) {
             return Optional.empty();
@@ -231,7 +238,7 @@
     }
 
     /** Returns the time until something may have to be done without an event. */
-    private long waitMillis(boolean isFollowing, long nowNanos) {
+    private long waitMillis(boolean isController, boolean isFollowing, long nowNanos) {
         Deadlines deadlines = new Deadlines(nowNanos, MAX_STEP_MILLIS);
         if (isFollowing) {
             dialogue.addDeadlines(deadlines, age);
@@ -239,7 +246,7 @@
             deadlines.add(overdueNanos());
         }
         if (!isFollowing || !isKnown) {
-            reads.addDeadlines(deadlines);
+            reads.addDeadlines(deadlines, overdueMillis(isController));
         }
         return deadlines.waitMillis();
     }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/FollowDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/FollowDuty.java
@@ -134,8 +134,17 @@
         }
     }
 
+    /** Handles {@code event}; a listener that throws leaves the decisions with what is held now. */
     private void handle(FollowEvent event) {
-        long nowNanos = clockNanos.getAsLong();
+        try {
+            dispatch(event, clockNanos.getAsLong());
+        } catch (RuntimeException e) {
+            EventLog.warn("view-event-failed", "prefix=" + prefix + " " + contents.describe(), e);
+            follower.recordChanged(contents.version());
+        }
+    }
+
+    private void dispatch(FollowEvent event, long nowNanos) {
         if (event instanceof FollowEvent.Reported reported) {
             handleReport(reported, nowNanos);
         } else if (event instanceof FollowEvent.Updated updated) {
@@ -150,8 +159,9 @@
     }
 
     private void handleReport(FollowEvent.Reported reported, long nowNanos) {
-        if (follower.hear(reported.teller(), reported.version(), nowNanos)) {
+        if (follower.hear(reported.teller(), reported.version(), reported.ageMillis(), nowNanos)) {
             contents.confirm(reported.version().revision());
+            reachability.recordConfirmed(contents.version().revision());
             recordCaughtUp();
         }
     }
@@ -258,26 +268,29 @@
             return;
         }
         ViewVersion own = contents.version();
-        Map<ViewVersion, ViewUpdate> differenceByHeld = new HashMap<>();
+        Map<Telling, PeerMessage.ViewUpdated> messageByNeed = new HashMap<>();
         int wholeCount = 0;
         int differenceCount = 0;
-        for (Telling telling : teller.next(own, clockNanos.getAsLong())) {
-            ViewUpdate update = telling.isWhole()
-                    ? contents.updateFrom(telling.held(), true)
-                    : differenceByHeld.computeIfAbsent(telling.held(), held -> contents.updateFrom(held, false));
-            peers.send(telling.routerId(), new PeerMessage.ViewUpdated(update));
-            wholeCount += update.isWhole() ? 1 : 0;
-            differenceCount += update.isWhole() ? 0 : 1;
+        for (Telling telling : teller.next(own, contents::hasDifferenceFrom, clockNanos.getAsLong())) {
+            PeerMessage.ViewUpdated message =
+                    messageByNeed.computeIfAbsent(telling.withoutRouter(), need -> update(need));
+            peers.send(telling.routerId(), message);
+            wholeCount += message.update().isWhole() ? 1 : 0;
+            differenceCount += message.update().isWhole() ? 0 : 1;
         }
         if (wholeCount + differenceCount > 0) {
             sentUpdates.record(own, contents.describe(), differenceCount, wholeCount);
         }
         if (mustReport) {
             mustReport = false;
-            peers.broadcast(new PeerMessage.ViewReport(prefix, own));
+            peers.broadcast(new PeerMessage.ViewReport(prefix, own, follower.ageMillis(clockNanos.getAsLong())));
         }
     }
 
+    private PeerMessage.ViewUpdated update(Telling need) {
+        return new PeerMessage.ViewUpdated(contents.updateFrom(need.held(), need.isWhole()));
+    }
+
     /**
      * Records whether this router is the controller. What followers said before it knew that counts; once it has lost
      * the control, they follow another router and have to say it again.
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -1,5 +1,6 @@
 package org.daisyscale.router.internal.serving;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
@@ -23,6 +24,7 @@
 import org.daisyscale.router.internal.following.ItemFailureListener;
 import org.daisyscale.router.internal.log.EventLog;
 import org.daisyscale.router.internal.request.ByteBudget;
+import org.daisyscale.router.internal.request.ReplyBody;
 import org.daisyscale.router.internal.ring.ArrayRing;
 import org.daisyscale.router.internal.ring.Ring;
 import org.daisyscale.router.serving.PlatformDialect;
@@ -181,7 +183,7 @@
         ViewListener listener =
                 listeners.createRouterListener(settings.serving().routerId(), lease, controller);
         ItemView view = new ItemView(StoreKeys.PREFIX, new ItemFailureListener(listener));
-        return follow(store, StoreKeys.PREFIX, controller, view, false, nanos -> listeners.confirmRouters());
+        return follow(store, StoreKeys.PREFIX, controller, view, false, listeners::confirmRouters);
     }
 
     /**
@@ -216,11 +218,12 @@
     private void answerReadiness(Context context) {
         boolean isReady = readiness.isReady();
         context.getResponse().status(isReady ? HttpStatusCodes.OK : HttpStatusCodes.SERVICE_UNAVAILABLE);
-        context.getResponse().send(isReady ? "ready" : "not ready");
+        ReplyBody.send(context, (isReady ? "ready" : "not ready").getBytes(StandardCharsets.UTF_8));
     }
 
     private void answerMetrics(Context context) {
-        context.getResponse().send(METRICS_TYPE, metrics.exposition());
+        context.getResponse().contentType(METRICS_TYPE);
+        ReplyBody.send(context, metrics.exposition());
     }
 
     /** Stops serving: releases the control of the keys first, accepts no new requests and lets those in flight end. */
