--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FollowedPrefixTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FollowedPrefixTest.java
@@ -18,8 +18,7 @@
 import org.junit.jupiter.api.Test;
 
 class FollowedPrefixTest {
-    private static final FollowReports NO_REPORTS =
-            new FollowReports((event, detail) -> {}, result -> {}, nanos -> {});
+    private static final FollowReports NO_REPORTS = new FollowReports((event, detail) -> {}, result -> {}, nanos -> {});
 
     private final Ring<FollowEvent> inbox = new ArrayRing<>("follow-servers/", 2);
     private final CountDownLatch stalled = new CountDownLatch(1);
