--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/FollowDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/FollowDuty.java
@@ -244,9 +244,7 @@
 
     private void recordRead(int changeCount, boolean isComplete, long nowNanos) {
         follower.recordRead(contents.version(), changeCount, isComplete, nowNanos);
-        // The others count as current when they hear a report, so it must not be about an old response.
-        boolean isFresh = follower.ageMillis(nowNanos) < ViewFollower.CONTROLLER_OVERDUE_MILLIS;
-        mustReport = mustReport || (isComplete && isFresh);
+        mustReport = mustReport || isComplete;
         recordCaughtUp();
     }
 
