--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/FollowDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/FollowDuty.java
@@ -82,7 +82,7 @@
         this.peers = peers;
         this.reports = reports;
         this.clockNanos = clockNanos;
-        this.reachability = new StoreReachability(prefix, clockNanos);
+        this.reachability = new StoreReachability(prefix, MIN_LAPSE_OUTAGE_MILLIS, clockNanos);
         this.viewSource = new ViewSourceLog(reports.log(), prefix, clockNanos);
         this.skippedUpdates = new SkippedUpdateLog(reports.log(), prefix);
         this.staleView = new StaleViewLog(reports.log(), prefix);
@@ -249,7 +249,7 @@
     }
 
     private boolean isWithinGrace() {
-        return reachability.hasJustRecovered(MIN_LAPSE_OUTAGE_MILLIS, REWRITE_GRACE_MILLIS);
+        return reachability.hasJustRecovered(REWRITE_GRACE_MILLIS);
     }
 
     private void removeLapsed() {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/StoreReachability.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/StoreReachability.java
@@ -9,14 +9,21 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final String prefix;
+    private final long minOutageMillis;
     private final LongSupplier clockNanos;
     private boolean isUnreachable;
     private long unreachableSinceNanos;
-    private long lastOutageMillis;
+    private boolean hasRecovered;
     private long recoveredNanos;
 
-    StoreReachability(String prefix, LongSupplier clockNanos) {
+    /**
+     * Creates a tracker of a store that responds.
+     *
+     * @param minOutageMillis the shortest outage after which the store counts as recovered, in milliseconds
+     */
+    StoreReachability(String prefix, long minOutageMillis, LongSupplier clockNanos) {
         this.prefix = prefix;
+        this.minOutageMillis = minOutageMillis;
         this.clockNanos = clockNanos;
     }
 
@@ -43,11 +50,15 @@
     void recordResponse(long revision) {
         if (isUnreachable) {
             isUnreachable = false;
-            recoveredNanos = clockNanos.getAsLong();
-            lastOutageMillis = (recoveredNanos - unreachableSinceNanos) / NANOS_PER_MILLI;
+            long nowNanos = clockNanos.getAsLong();
+            long outageMillis = (nowNanos - unreachableSinceNanos) / NANOS_PER_MILLI;
+            if (outageMillis >= minOutageMillis) {
+                hasRecovered = true;
+                recoveredNanos = nowNanos;
+            }
             EventLog.info(
                     "store-regained",
-                    "prefix=%s revision=%d absentMillis=%d".formatted(prefix, revision, lastOutageMillis));
+                    "prefix=%s revision=%d absentMillis=%d".formatted(prefix, revision, outageMillis));
         }
     }
 
@@ -57,11 +68,10 @@
     }
 
     /**
-     * Returns whether the store recovered less than {@code graceMillis} ago from an outage of at least {@code
-     * outageMillis}.
+     * Returns whether the store recovered less than {@code graceMillis} ago from an outage that was not too short; a
+     * shorter one after it changes nothing.
      */
-    boolean hasJustRecovered(long outageMillis, long graceMillis) {
-        return lastOutageMillis >= outageMillis
-                && clockNanos.getAsLong() - recoveredNanos < graceMillis * NANOS_PER_MILLI;
+    boolean hasJustRecovered(long graceMillis) {
+        return hasRecovered && clockNanos.getAsLong() - recoveredNanos < graceMillis * NANOS_PER_MILLI;
     }
 }
