--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/FollowDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/FollowDuty.java
@@ -82,7 +82,7 @@
         this.peers = peers;
         this.reports = reports;
         this.clockNanos = clockNanos;
-        this.reachability = new StoreReachability(prefix, clockNanos);
+        this.reachability = new StoreReachability(prefix, MIN_LAPSE_OUTAGE_MILLIS, clockNanos);
         this.viewSource = new ViewSourceLog(reports.log(), prefix, clockNanos);
         this.skippedUpdates = new SkippedUpdateLog(reports.log(), prefix);
         this.staleView = new StaleViewLog(reports.log(), prefix);
@@ -244,14 +244,12 @@
 
     private void recordRead(int changeCount, boolean isComplete, long nowNanos) {
         follower.recordRead(contents.version(), changeCount, isComplete, nowNanos);
-        // The others count as current when they hear a report, so it must not be about an old response.
-        boolean isFresh = follower.ageMillis(nowNanos) < ViewFollower.CONTROLLER_OVERDUE_MILLIS;
-        mustReport = mustReport || (isComplete && isFresh);
+        mustReport = mustReport || isComplete;
         recordCaughtUp();
     }
 
     private boolean isWithinGrace() {
-        return reachability.hasJustRecovered(MIN_LAPSE_OUTAGE_MILLIS, REWRITE_GRACE_MILLIS);
+        return reachability.hasJustRecovered(REWRITE_GRACE_MILLIS);
     }
 
     private void removeLapsed() {
