--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/ConfigurationStatus.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/ConfigurationStatus.java
@@ -13,11 +13,13 @@
 
     /** Time within which what operators write must be in force, in milliseconds; required by the platform. */
     private static final long APPLY_LIMIT_MILLIS = 2_000;
+    /** Maximum time of a transfer between two data centres, in milliseconds; well above the usual latency. */
+    private static final long TRANSFER_MILLIS = 250;
     /**
-     * Maximum time that a confirmation takes, in milliseconds: from the store to the controller and from there to this
-     * router, each less than the time limit of a transfer between two data centres. The age does not include it.
+     * Maximum time that a confirmation takes, in milliseconds: it comes from the store by way of the controller. The
+     * age does not include it.
      */
-    private static final long CONFIRMATION_DELAY_MILLIS = 2 * 250;
+    private static final long CONFIRMATION_DELAY_MILLIS = 2 * TRANSFER_MILLIS;
     /** Age up to which the configuration certainly has all that must be in force, in milliseconds. */
     private static final long MAX_CURRENT_AGE_MILLIS = APPLY_LIMIT_MILLIS - CONFIRMATION_DELAY_MILLIS;
 
