--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ItemView.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ItemView.java
@@ -60,7 +60,9 @@
                 recordMissing(known.key(), listing.revision(), circumstances);
             }
         }
-        listing.items().forEach(item -> write(item, circumstances.maxAgeMillis()));
+        listing.items().stream()
+                .filter(item -> itemByKey.containsKey(item.key()) || !isRemovedAt(item.key(), listing.revision()))
+                .forEach(item -> write(item, circumstances.maxAgeMillis()));
         revision = listing.revision();
         if (isFirst) {
             removalsSinceRevision = revision;
@@ -81,6 +83,11 @@
         listener.onComplete();
     }
 
+    /** Returns whether the item is known to be gone at {@code atRevision}, as a later page of another listing shows. */
+    private boolean isRemovedAt(String key, long atRevision) {
+        return removedRevisionByKey.getOrDefault(key, 0L) >= atRevision;
+    }
+
     private void apply(ItemChange change, ReadCircumstances circumstances) {
         Item known = itemByKey.get(change.key());
         if (change.item().isPresent()) {
--- a/daisyscale-core/src/test/java/org/daisyscale/core/following/ItemViewTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/following/ItemViewTest.java
@@ -133,6 +133,17 @@
         assertThat(view.version().revision()).isEqualTo(6);
     }
 
+    /** The first listing came in pages, and the item was removed before its page. */
+    @Test
+    void shouldNotBringBackARemovedItemByAListingOfTheSameRevision() {
+        view.applyListing(listing(5, item("a", 3)), USUAL);
+        view.applyListing(listing(6), USUAL);
+
+        view.applyListing(listing(6, item("a", 3)), USUAL);
+
+        assertThat(held.revisionByKey).isEmpty();
+    }
+
     @Test
     void shouldCountOnlyTheLastOfSeveralChangesOfAnItem() {
         view.applyListing(listing(5, item("a", 3)), USUAL);
