--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewTeller.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewTeller.java
@@ -4,15 +4,21 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Knows what each follower of a view holds, by its acknowledgements, and decides whom to send an update. A follower
- * gets the difference from exactly what it holds, one update at a time, so that a slow one skips versions; a lost
- * update is sent again when the follower repeats what it holds. Not thread-safe; confined to one thread.
+ * gets the difference from exactly what it holds, one update at a time, so that a slow one skips versions. A lost
+ * update is sent again when the follower repeats what it holds, and is followed by newer changes after a while. Not
+ * thread-safe; confined to one thread.
  */
 public final class ViewTeller {
-    /** How long an update may be on its way before the same question counts as a loss, in milliseconds. */
-    static final long RESEND_MILLIS = 500;
+    /** How long a difference may be on its way before the same question counts as a loss, in milliseconds. */
+    static final long RESEND_MILLIS = ViewFollower.ASK_AFTER_MILLIS;
+    /** How long a whole view may be on its way before the same question counts as a loss, in milliseconds. */
+    static final long RESEND_WHOLE_MILLIS = 500;
+    /** How long an update may stay without an acknowledgement before a newer one is sent, in milliseconds. */
+    static final long UNACKNOWLEDGED_MILLIS = 500;
     /** Maximum number of whole views on their way, so that they do not fill the link of the controller. */
     static final int MAX_WHOLE_ON_THE_WAY = 8;
     /** How long a whole view counts as on its way without an acknowledgement, in milliseconds. */
@@ -32,10 +38,9 @@
         boolean isRepeated = known != null
                 && known.held().equals(held)
                 && known.needsWhole() == needsWhole
-                && known.isOnTheWay()
-                && nowNanos - known.sentNanos() < RESEND_MILLIS * NANOS_PER_MILLI;
+                && known.sent().filter(update -> update.isExpected(nowNanos)).isPresent();
         if (!isRepeated) {
-            followerById.put(routerId, new Follower(held, needsWhole, false, false, nowNanos));
+            followerById.put(routerId, new Follower(held, needsWhole, Optional.empty()));
         }
     }
 
@@ -61,10 +66,13 @@
         for (Map.Entry<String, Follower> entry : followerById.entrySet()) {
             Follower follower = entry.getValue();
             boolean isWhole = follower.needsWhole() || follower.held().revision() == 0;
-            if (follower.isBehind(own) && (!isWhole || wholeCount < MAX_WHOLE_ON_THE_WAY)) {
+            if (follower.isBehind(own)
+                    && !follower.isBusy(own, nowNanos)
+                    && (!isWhole || wholeCount < MAX_WHOLE_ON_THE_WAY)) {
                 wholeCount += isWhole ? 1 : 0;
                 tellings.add(new Telling(entry.getKey(), follower.held(), isWhole));
-                entry.setValue(new Follower(follower.held(), follower.needsWhole(), true, isWhole, nowNanos));
+                Optional<SentUpdate> sent = Optional.of(new SentUpdate(own, isWhole, nowNanos));
+                entry.setValue(new Follower(follower.held(), follower.needsWhole(), sent));
             }
         }
         return tellings;
@@ -84,21 +92,47 @@
      *
      * @param held what it said that it holds
      * @param needsWhole whether it needs the whole view
-     * @param isOnTheWay whether an update was sent that it has not acknowledged
-     * @param isWhole whether that update is a whole view
-     * @param sentNanos when that update was sent, by the monotonic clock
+     * @param sent the update that was sent from there
      */
-    private record Follower(ViewVersion held, boolean needsWhole, boolean isOnTheWay, boolean isWhole, long sentNanos) {
+    private record Follower(ViewVersion held, boolean needsWhole, Optional<SentUpdate> sent) {
 
         boolean isBehind(ViewVersion own) {
-            return !isOnTheWay
-                    && (!held.hasSameItems(own) || held.revision() == 0)
+            return (!held.hasSameItems(own) || held.revision() == 0)
                     && held.revision() <= own.revision()
                     && own.revision() > 0;
         }
 
+        boolean isBusy(ViewVersion own, long nowNanos) {
+            return sent.filter(update -> update.isAwaited(own, nowNanos)).isPresent();
+        }
+
         boolean isWholeOnTheWay(long nowNanos) {
-            return isOnTheWay && isWhole && nowNanos - sentNanos < WHOLE_MILLIS * NANOS_PER_MILLI;
+            return sent.filter(update -> update.isWhole() && update.isSentWithin(WHOLE_MILLIS, nowNanos))
+                    .isPresent();
+        }
+    }
+
+    /**
+     * An update that was not acknowledged. Immutable.
+     *
+     * @param version where it leads to
+     * @param isWhole whether it is a whole view
+     * @param nanos when it was sent, by the monotonic clock
+     */
+    private record SentUpdate(ViewVersion version, boolean isWhole, long nanos) {
+
+        boolean isSentWithin(long millis, long nowNanos) {
+            return nowNanos - nanos < millis * NANOS_PER_MILLI;
+        }
+
+        /** Returns whether it is too early to send the update again when the follower repeats what it holds. */
+        boolean isExpected(long nowNanos) {
+            return isSentWithin(isWhole ? RESEND_WHOLE_MILLIS : RESEND_MILLIS, nowNanos);
+        }
+
+        /** Returns whether no newer update is sent before this one is acknowledged. */
+        boolean isAwaited(ViewVersion own, long nowNanos) {
+            return isWhole || version.hasSameItems(own) || isSentWithin(UNACKNOWLEDGED_MILLIS, nowNanos);
         }
     }
 }
--- a/daisyscale-core/src/test/java/org/daisyscale/core/following/ViewTellerTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/following/ViewTellerTest.java
@@ -109,6 +109,46 @@
         assertThat(next(OWN)).hasSize(1);
     }
 
+    /** A follower asks at {@link ViewFollower#ASK_AFTER_MILLIS} for the first time; that question must be answered. */
+    @Test
+    void shouldTellAgainWhenAFollowerAsksForTheFirstTime() {
+        assertThat(ViewTeller.RESEND_MILLIS).isLessThanOrEqualTo(ViewFollower.ASK_AFTER_MILLIS);
+    }
+
+    @Test
+    void shouldTellAWholeViewAgainLater() {
+        hold("r1", ViewVersion.NONE);
+        next(OWN);
+        advance(ViewTeller.RESEND_WHOLE_MILLIS - 1);
+
+        hold("r1", ViewVersion.NONE);
+        assertThat(next(OWN)).isEmpty();
+        advance(1);
+        hold("r1", ViewVersion.NONE);
+        assertThat(next(OWN)).hasSize(1);
+    }
+
+    @Test
+    void shouldTellNewerChangesAfterAWhileWithoutAnAcknowledgement() {
+        hold("r1", OLD);
+        next(OWN);
+        advance(ViewTeller.UNACKNOWLEDGED_MILLIS - 1);
+        assertThat(next(new ViewVersion(10, 100))).isEmpty();
+        advance(1);
+
+        assertThat(next(OWN)).isEmpty();
+        assertThat(next(new ViewVersion(10, 100))).containsExactly(new Telling("r1", OLD, false));
+    }
+
+    @Test
+    void shouldNotTellNewerWholeViewsWithoutAnAcknowledgement() {
+        hold("r1", ViewVersion.NONE);
+        next(OWN);
+        advance(10 * ViewTeller.WHOLE_MILLIS);
+
+        assertThat(next(new ViewVersion(10, 100))).isEmpty();
+    }
+
     @Test
     void shouldTellNobodyWhoWasForgotten() {
         hold("r1", OLD);
