--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/StoreReads.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/StoreReads.java
@@ -39,12 +39,13 @@
     /**
      * Records a response; the next read waits for further changes to read, unless there was nothing to read.
      *
+     * @param arrivedNanos the earliest time at which the response may have arrived
      * @return the time up to which the response proves the view: a listing may be as old as its request, and a watch as
      *     its wait, however long the response took to arrive
      */
-    long recordResponse(int changeCount, boolean isComplete, long nowNanos) {
+    long recordResponse(int changeCount, boolean isComplete, long arrivedNanos, long nowNanos) {
         boolean isEmptyWatch = isWatchPending() && changeCount == 0;
-        long provenNanos = provenNanos(nowNanos);
+        long provenNanos = provenNanos(arrivedNanos);
         pending = Optional.empty();
         failureCount = 0;
         long sinceNanos = isEmptyWatch ? startedNanos : nowNanos;
@@ -85,8 +86,19 @@
         return hasStarted && !Deadlines.hasPassed(millis, startedNanos, nowNanos);
     }
 
-    /** Adds the start of the next read, or the time at which a pending watch is overdue. */
+    /** Returns when a router that hears the controller may read again; sooner than {@code millis} after a failure. */
+    long againNanos(long millis) {
+        boolean isPaused = !hasStarted || hasJustFailed();
+        long afterStartNanos = startedNanos + Deadlines.nanos(millis);
+        return isPaused || notBeforeNanos - afterStartNanos > 0 ? notBeforeNanos : afterStartNanos;
+    }
+
+    /** Adds when the next read may start, or when a pending watch is {@code overdueMillis} old. */
     void addDeadlines(Deadlines deadlines, long overdueMillis) {
-        deadlines.add(pending.isEmpty() ? notBeforeNanos : startedNanos + Deadlines.nanos(overdueMillis));
+        if (pending.isEmpty()) {
+            deadlines.add(notBeforeNanos);
+        } else if (isWatchPending()) {
+            deadlines.add(startedNanos + Deadlines.nanos(overdueMillis));
+        }
     }
 }
--- a/daisyscale-core/src/test/java/org/daisyscale/core/following/AgeThatLiesTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/following/AgeThatLiesTest.java
@@ -85,6 +85,7 @@
     void shouldBeAsOldAsTheReportOfTheSameItems() {
         listInMillis(HELD, 5);
         advance(900);
+        follower.next(false, nowNanos);
 
         follower.hear(FIRST, new ViewVersion(12, HELD.digest()), 600, nowNanos);
 
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/FollowDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/FollowDuty.java
@@ -243,8 +243,8 @@
     }
 
     private void recordRead(int changeCount, boolean isComplete, long nowNanos) {
-        follower.recordRead(contents.version(), changeCount, isComplete, nowNanos);
-        mustReport = mustReport || isComplete;
+        boolean isCurrent = follower.recordRead(contents.version(), changeCount, isComplete, nowNanos);
+        mustReport = mustReport || isCurrent;
         recordCaughtUp();
     }
 
