DeliveryUnderFaultsTest: key maps, too

The controller of the keys publishes maps among the other changes, the next one before it knows itself as controller, and the former one sends an old map late.

--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/DeliveryUnderFaultsTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/DeliveryUnderFaultsTest.java
@@ -15,6 +15,9 @@
 import java.util.stream.LongStream;
 import org.daisyscale.core.following.ViewVersion;
 import org.daisyscale.core.peer.PeerMessage;
+import org.daisyscale.core.serving.KeyAssignment;
+import org.daisyscale.core.serving.KeyAssignment.Owner;
+import org.daisyscale.core.serving.KeyMap;
 import org.daisyscale.core.serving.RoutingTable;
 import org.daisyscale.router.internal.duty.DutyThread;
 import org.daisyscale.router.internal.log.EventLog;
@@ -39,6 +42,8 @@
     private final FollowingRouters routers = new FollowingRouters();
     private final Map<Long, String> configurationByVersion = new TreeMap<>();
     private final Map<String, Long> revisionByServer = new TreeMap<>();
+    private FollowingRouter keyController;
+    private long keyMapVersion = 1;
     private FollowingRouter former;
     private FollowingRouter next;
     private List<FollowingRouter> others;
@@ -62,6 +67,7 @@
                 routers.open("r3", unreachable, FollowingRouters.BATCH_MILLIS),
                 routers.open("r4", unreachable, FollowingRouters.BATCH_MILLIS),
                 routers.open("r5", isLastReachingTheStore ? store : unreachable, FollowingRouters.BATCH_MILLIS));
+        keyController = former;
         pending = new PendingChanges(routers.all());
     }
 
@@ -90,7 +96,9 @@
         awaitEndOf(faults);
         checkFor(FollowingRouters.LIMIT_MILLIS);
 
-        EventLog.info("delivery-measured", "seed=%d maxLateMillis=%d".formatted(seed, pending.maxLateMillis()));
+        EventLog.info(
+                "delivery-measured",
+                "seed=%d maxLateMillis=%d latest=%s".formatted(seed, pending.maxLateMillis(), pending.latest()));
         assertThat(pending.isEmpty()).isTrue();
         assertThat(routers.all()).allSatisfy(this::assertAtTheEnd);
     }
@@ -119,10 +127,11 @@
     }
 
     private void writeChange(SplittableRandom random) {
-        switch (random.nextInt(5)) {
+        switch (random.nextInt(6)) {
             case 0 -> writeServer("servers/s" + random.nextInt(SERVER_COUNT));
             case 1 -> removeServer("servers/s" + random.nextInt(SERVER_COUNT));
             case 2 -> changeEvacuation("dc" + random.nextInt(2), random.nextBoolean());
+            case 3 -> publishKeyMap();
             default -> writeConfiguration(random);
         }
     }
@@ -144,6 +153,27 @@
                 router -> router.revisionByServer().getOrDefault(server, 0L) == revision);
     }
 
+    /** Publishes the next key map, also before the router that controls the keys knows itself as the controller. */
+    private synchronized void publishKeyMap() {
+        keyMapVersion++;
+        long version = keyMapVersion;
+        keyController.link().publish(keyMap(version));
+        pending.add("key map", "key map " + version, router -> router.keyMapVersion() >= version);
+    }
+
+    /** Lets the next controller publish what it reads in the store when it takes control of the keys. */
+    private synchronized void passKeysOn() {
+        keyController = next;
+        next.link().publish(keyMap(keyMapVersion));
+    }
+
+    private static KeyMap keyMap(long version) {
+        Owner owner = new Owner("s1", 1, "10.0.0.1", 80);
+        KeyAssignment changed = KeyAssignment.first(0, 9, owner, version);
+        KeyAssignment rest = KeyAssignment.first(10, KeyMap.KEY_COUNT - 1, owner, 1);
+        return new KeyMap("s", version, 0, version + 1, List.of(changed, rest));
+    }
+
     private void removeServer(String server) {
         if (revisionByServer.remove(server) != null) {
             store.remove(server);
@@ -199,6 +229,8 @@
     private void replaceController(SplittableRandom random) throws InterruptedException {
         pending.markDisconnected(former);
         others.forEach(pending::markDisconnected);
+        passKeysOn();
+        Thread.sleep(random.nextLong(MAX_CUT_MILLIS));
         next.link().setController(next.entry());
         pending.markConnected(next);
         for (FollowingRouter router : others) {
@@ -221,7 +253,9 @@
                 String routerId = router.entry().routerId();
                 former.link().send(routerId, new PeerMessage.ViewReport(FollowingRouter.OPERATORS, invented));
                 former.link().send(routerId, new PeerMessage.ViewReport(FollowingRouter.SERVERS, invented));
+                former.link().send(routerId, new PeerMessage.KeyMapUpdate(keyMap(1)));
             }
+            former.link().send(next.entry().routerId(), new PeerMessage.KeyMapUpdate(keyMap(1)));
             Thread.sleep(MIN_CUT_MILLIS);
         }
     }
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FollowingRouter.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FollowingRouter.java
@@ -46,12 +46,13 @@
     private final Map<String, List<Long>> revisionsByServer = new ConcurrentHashMap<>();
     private final List<RoutingTable> tables = new CopyOnWriteArrayList<>();
     private volatile Set<String> evacuatedDataCentres = Set.of();
+    private volatile long keyMapVersion;
 
     /** Creates a router that has read nothing and knows no other router. */
     FollowingRouter(String routerId, CoordinationStore store, long batchMillis) throws IOException {
         entry = new RouterEntry(routerId, "127.0.0.1", freePort(), 7, 1);
         Address address = new Address(entry.host(), entry.port());
-        link = new ControllerLink(routerId, address, event -> {}, event -> {}, EventLog::info);
+        link = new ControllerLink(routerId, address, this::record, event -> {}, EventLog::info);
         ItemView serverView = new ItemView(SERVERS, new RevisionListener(revisionByServer, revisionsByServer));
         servers = FollowedView.create(store, SERVERS, serverView, createFollower(batchMillis, false), link);
         OperatorState operatorState = new OperatorState(new RoutesDecoder(), this::record, new Readiness());
@@ -68,11 +69,13 @@
         return new ViewFollower(new SplittableRandom(), batchMillis, isListedWhileChanging, System.nanoTime());
     }
 
-    private void record(ServingEvent event) {
+    private synchronized void record(ServingEvent event) {
         if (event instanceof ServingEvent.TableChanged changed) {
             tables.add(changed.table());
         } else if (event instanceof ServingEvent.EvacuationsChanged changed) {
             evacuatedDataCentres = changed.dataCentres();
+        } else if (event instanceof ServingEvent.KeyMapChanged changed) {
+            keyMapVersion = Math.max(keyMapVersion, changed.map().version());
         }
     }
 
@@ -149,6 +152,11 @@
         return tables.isEmpty() ? 0 : tables.get(tables.size() - 1).version();
     }
 
+    /** Returns the highest version of the key map that was received or published. */
+    long keyMapVersion() {
+        return keyMapVersion;
+    }
+
     /** Returns all configurations that were in force, in their order. */
     List<RoutingTable> tables() {
         return tables;
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/PendingChanges.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/PendingChanges.java
@@ -20,6 +20,7 @@
     private final Map<FollowingRouter, List<Change>> changesByRouter = new HashMap<>();
     private final Map<FollowingRouter, Long> connectedNanosByRouter = new ConcurrentHashMap<>();
     private long maxLateMillis;
+    private String latest = "";
 
     PendingChanges(List<FollowingRouter> routers) {
         routers.forEach(router -> changesByRouter.put(router, new ArrayList<>()));
@@ -56,7 +57,10 @@
     private void check(FollowingRouter router, Change change, long connectedNanos) {
         long sinceNanos = Math.max(change.writtenNanos(), connectedNanos);
         long lateNanos = System.nanoTime() - sinceNanos;
-        maxLateMillis = Math.max(maxLateMillis, lateNanos / 1_000_000L);
+        if (lateNanos / 1_000_000L > maxLateMillis) {
+            maxLateMillis = lateNanos / 1_000_000L;
+            latest = change.description() + " at " + router.entry().routerId();
+        }
         assertThat(lateNanos)
                 .as(
                         "%s is not known at %s",
@@ -69,6 +73,11 @@
         return maxLateMillis;
     }
 
+    /** Returns which change was not known for the longest time, and where. */
+    String latest() {
+        return latest;
+    }
+
     boolean isEmpty() {
         return changesByRouter.values().stream().allMatch(List::isEmpty);
     }
