--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/following/StoreReachabilityTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/following/StoreReachabilityTest.java
@@ -9,8 +9,6 @@
     private static final long MILLIS = 1_000_000L;
     private static final long MIN_OUTAGE_MILLIS = 1_000;
     private static final long GRACE_MILLIS = 2_000;
-    private static final StoreException LOST =
-            new StoreException(StoreException.Code.UNREACHABLE, "the store is out", null);
 
     private long nowNanos = 77 * MILLIS;
     private final StoreReachability reachability = new StoreReachability("servers/", MIN_OUTAGE_MILLIS, () -> nowNanos);
@@ -20,7 +18,7 @@
     }
 
     private void loseFor(long millis) {
-        reachability.recordFailure(LOST, 1, 0);
+        reachability.recordFailure(new StoreException(StoreException.Code.UNREACHABLE, "the store is out", null), 1, 0);
         advance(millis);
         reachability.recordResponse(1);
     }
