--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewFollower.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewFollower.java
@@ -88,7 +88,7 @@
             return true;
         }
         if (reported.revision() >= held.revision()) {
-            age.recordMissed(reported, nowNanos);
+            age.recordMissed(reported, nowNanos - Deadlines.nanos(ageMillis));
         }
         return false;
     }
--- a/daisyscale-core/src/test/java/org/daisyscale/core/following/AgeThatLiesTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/following/AgeThatLiesTest.java
@@ -90,4 +90,17 @@
 
         assertThat(follower.ageMillis(nowNanos)).isEqualTo(600);
     }
+
+    @Test
+    void shouldBeAsOldAsTheReportOfAnUpdateThatIsAppliedAfterIt() {
+        listInMillis(HELD, 5);
+        advance(3_000);
+        follower.hear(FIRST, new ViewVersion(20, 222), 2_500, nowNanos);
+        advance(5);
+
+        follower.recordApplied(new ViewVersion(20, 222));
+
+        assertThat(follower.isBehind()).isFalse();
+        assertThat(follower.ageMillis(nowNanos)).isGreaterThanOrEqualTo(2_500);
+    }
 }
