--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewFollower.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewFollower.java
@@ -85,16 +85,17 @@
      */
     public boolean hear(Teller reporter, ViewVersion reported, long ageMillis, long nowNanos) {
         long arrivedNanos = arrivedNanos(nowNanos);
+        long provenNanos = arrivedNanos - Deadlines.nanos(ageMillis);
         dialogue.recordHeard(reporter, arrivedNanos);
         if (isKnown && reported.hasSameItems(held)) {
             held = new ViewVersion(Math.max(held.revision(), reported.revision()), held.digest());
             needsListing = false;
             dialogue.recordMatching();
-            age.recordMatching(reported, arrivedNanos - Deadlines.nanos(ageMillis));
+            age.recordMatching(reported, provenNanos);
             return true;
         }
         if (reported.revision() >= held.revision()) {
-            age.recordMissed(reported, arrivedNanos);
+            age.recordMissed(reported, provenNanos);
         }
         return false;
     }
