--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FollowDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FollowDutyTest.java
@@ -130,6 +130,21 @@
         assertThat(reads).hasSizeBetween(8, 2 * (int) (RUN_MILLIS / BATCH_MILLIS) + 2);
     }
 
+    @Test
+    void shouldPauseBetweenCallsToAStoreWhoseWatchesEndAtOnceWithoutAChange() throws InterruptedException {
+        FollowDuty duty = createDuty((number, request) -> {
+            if (request.kind() == Kind.LIST) {
+                list(number, 9, item("servers/a", 4));
+            } else {
+                inbox.offer(new FollowEvent.Watched(number, Optional.of(new Changes(List.of(), 9))));
+            }
+        });
+
+        runStepsFor(duty, RUN_MILLIS);
+
+        assertThat(reads).hasSizeBetween(8, (int) (RUN_MILLIS / BATCH_MILLIS) + 2);
+    }
+
     @Test
     void shouldReadAgainAfterAResponseWhoseHandlingEndedWithAnError() throws InterruptedException {
         FollowDuty duty = createDuty(this::answerListingsOnly);
