--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/StoreReads.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/StoreReads.java
@@ -39,16 +39,17 @@
     /**
      * Records a response; the next read waits for further changes to read, unless there was nothing to read.
      *
+     * @param arrivedNanos the earliest time at which the response may have arrived
      * @return since when the response may be the newest, by the monotonic clock: a listing may be as old as its request
      */
-    long recordResponse(int changeCount, boolean isComplete, long nowNanos) {
+    long recordResponse(int changeCount, boolean isComplete, long arrivedNanos, long nowNanos) {
         boolean wasWatch = isWatchPending();
         pending = Optional.empty();
         failureCount = 0;
         boolean isEmptyWatch = wasWatch && changeCount == 0;
         long sinceNanos = isEmptyWatch ? startedNanos : nowNanos;
         notBeforeNanos = isEmptyWatch && !isComplete ? nowNanos : sinceNanos + Deadlines.nanos(batchMillis);
-        return wasWatch ? nowNanos : startedNanos;
+        return wasWatch ? arrivedNanos : startedNanos;
     }
 
     void recordFailed(long nowNanos) {
@@ -79,9 +80,19 @@
         return hasStarted && !Deadlines.hasPassed(millis, startedNanos, nowNanos);
     }
 
-    void addDeadlines(Deadlines deadlines) {
+    /** Returns when a router that hears the controller may read again; sooner than {@code millis} after a failure. */
+    long againNanos(long millis) {
+        boolean isPaused = !hasStarted || hasJustFailed();
+        long afterStartNanos = startedNanos + Deadlines.nanos(millis);
+        return isPaused || notBeforeNanos - afterStartNanos > 0 ? notBeforeNanos : afterStartNanos;
+    }
+
+    /** Adds when the next read may start, or when a pending watch is {@code overdueMillis} old. */
+    void addDeadlines(Deadlines deadlines, long overdueMillis) {
         if (pending.isEmpty()) {
             deadlines.add(notBeforeNanos);
+        } else if (isWatchPending()) {
+            deadlines.add(startedNanos + Deadlines.nanos(overdueMillis));
         }
     }
 }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewFollower.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewFollower.java
@@ -37,6 +37,8 @@
     public static final long READ_SPREAD_MILLIS = 100;
     /** Longest time between two steps, in milliseconds; this router may become the controller meanwhile. */
     private static final long MAX_STEP_MILLIS = 200;
+    /** Time since the last step from which this router stood still, so that events may have waited, in milliseconds. */
+    static final long STALLED_MILLIS = 500;
 
     private final RandomGenerator random;
     private final boolean isListedWhileChanging;
@@ -46,8 +48,10 @@
     private ViewVersion held = ViewVersion.NONE;
     private boolean isKnown;
     private boolean needsListing = true;
+    private boolean wasController;
     private boolean isChangingQuickly;
     private long spreadNanos;
+    private long steppedNanos;
 
     /**
      * Creates a follower that holds nothing.
@@ -61,6 +65,7 @@
     public ViewFollower(RandomGenerator random, long batchMillis, boolean isListedWhileChanging, long nowNanos) {
         this.random = random;
         this.isListedWhileChanging = isListedWhileChanging;
+        this.steppedNanos = nowNanos;
         this.age = new ViewAge(nowNanos);
         this.dialogue = new TellerDialogue(nowNanos);
         this.reads = new StoreReads(random, batchMillis, nowNanos);
@@ -77,20 +82,30 @@
      * @return whether this router holds the same items, so that it has what the reporter has up to that revision
      */
     public boolean hear(Teller reporter, ViewVersion reported, long nowNanos) {
-        dialogue.recordHeard(reporter, nowNanos);
+        long arrivedNanos = arrivedNanos(nowNanos);
+        dialogue.recordHeard(reporter, arrivedNanos);
         if (isKnown && reported.hasSameItems(held)) {
             held = new ViewVersion(Math.max(held.revision(), reported.revision()), held.digest());
             needsListing = false;
             dialogue.recordMatching();
-            age.recordMatching(reported, nowNanos);
+            age.recordMatching(reported, arrivedNanos);
             return true;
         }
         if (reported.revision() >= held.revision()) {
-            age.recordMissed(reported, nowNanos);
+            age.recordMissed(reported, arrivedNanos);
         }
         return false;
     }
 
+    /** Returns the earliest time at which an event that is handled now may have arrived. */
+    private long arrivedNanos(long nowNanos) {
+        return isStalled(nowNanos) ? steppedNanos : nowNanos;
+    }
+
+    private boolean isStalled(long nowNanos) {
+        return Deadlines.hasPassed(STALLED_MILLIS, steppedNanos, nowNanos);
+    }
+
     /** Records that an update of the controller was applied, after which {@code newHeld} is held. */
     public void recordApplied(ViewVersion newHeld) {
         isKnown = true;
@@ -124,10 +139,11 @@
      *
      * @param changeCount the number of changes in the response to a watch; 0 for a listing
      * @param isComplete whether the response proves that the view lacks nothing; otherwise the prefix must be listed
+     * @return whether the view lacked nothing just now, so that the controller may report it
      */
-    public void recordRead(ViewVersion newHeld, int changeCount, boolean isComplete, long nowNanos) {
+    public boolean recordRead(ViewVersion newHeld, int changeCount, boolean isComplete, long nowNanos) {
         boolean isChanged = !newHeld.hasSameItems(held);
-        long readNanos = reads.recordResponse(changeCount, isComplete, nowNanos);
+        long readNanos = reads.recordResponse(changeCount, isComplete, arrivedNanos(nowNanos), nowNanos);
         isChangingQuickly = isListedWhileChanging && (changeCount > 1 || (isChangingQuickly && isChanged));
         needsListing = !isComplete;
         isKnown = isKnown || isComplete;
@@ -139,6 +155,7 @@
         if (isComplete) {
             age.recordRead(newHeld, readNanos);
         }
+        return isComplete && !isStalled(nowNanos);
     }
 
     /** Records that the pending read failed. */
@@ -184,10 +201,12 @@
      */
     public FollowStep next(boolean isController, long nowNanos) {
         boolean isFollowing = !isController && isTold(nowNanos);
+        wasController = wasController && isController;
         Optional<Holding> holding = isFollowing ? dialogue.next(held, age, nowNanos) : Optional.empty();
         Optional<ReadRequest> read = isFollowing ? readWhileTold(nowNanos) : readAlone(isController, nowNanos);
         read.ifPresent(request -> reads.recordStarted(request, nowNanos));
-        return new FollowStep(holding, read, waitMillis(isFollowing, nowNanos));
+        steppedNanos = nowNanos;
+        return new FollowStep(holding, read, waitMillis(isController, isFollowing, nowNanos));
     }
 
     /** Returns the read that is needed although the controller is heard. */
@@ -195,22 +214,39 @@
         if (reads.isPending() && !reads.isWatchPending()) {
             return Optional.empty();
         }
-        boolean isOld = nowNanos - overdueNanos() >= 0 && !reads.hasStartedWithin(READ_AGAIN_MILLIS, nowNanos);
+        boolean isOld = nowNanos - overdueNanos() >= 0 && nowNanos - reads.againNanos(READ_AGAIN_MILLIS) >= 0;
         boolean isNeeded = isOld || (!isKnown && !reads.isPending());
         return isNeeded && reads.mayStart(nowNanos) ? Optional.of(list(Reason.CONTROLLER_AHEAD)) : Optional.empty();
     }
 
     private Optional<ReadRequest> readAlone(boolean isController, long nowNanos) {
+        if (isController && !wasController) {
+            return listAsNewController(nowNanos);
+        }
         return reads.isPending() ? readInstead(isController, nowNanos) : read(isController, nowNanos);
     }
 
+    /**
+     * Returns the listing of a new controller: a watch would not report the removal of items that the former one still
+     * held because they may have lapsed.
+     */
+    private Optional<ReadRequest> listAsNewController(long nowNanos) {
+        boolean isListing = reads.isPending() && !reads.isWatchPending();
+        boolean mayList = reads.isWatchPending() || reads.mayStart(nowNanos);
+        wasController = isListing || mayList;
+        return mayList && !isListing ? Optional.of(list(Reason.CONTROLLER)) : Optional.empty();
+    }
+
     /** Returns the listing to start instead of a pending watch whose response seems lost. */
     private Optional<ReadRequest> readInstead(boolean isController, long nowNanos) {
-        long overdueMillis = isController ? CONTROLLER_OVERDUE_MILLIS : ALONE_OVERDUE_MILLIS;
-        boolean isLost = reads.isWatchPending() && !reads.hasStartedWithin(overdueMillis, nowNanos);
+        boolean isLost = reads.isWatchPending() && !reads.hasStartedWithin(watchMillis(isController), nowNanos);
         return isLost ? Optional.of(list(aloneReason(isController))) : Optional.empty();
     }
 
+    private static long watchMillis(boolean isController) {
+        return isController ? CONTROLLER_OVERDUE_MILLIS : ALONE_OVERDUE_MILLIS;
+    }
+
     private Optional<ReadRequest> read(boolean isController, long nowNanos) {
         if (!reads.mayStart(nowNanos)) {
             return Optional.empty();
@@ -232,15 +268,16 @@
     }
 
     /** Returns the time until something may have to be done without an event. */
-    private long waitMillis(boolean isFollowing, long nowNanos) {
+    private long waitMillis(boolean isController, boolean isFollowing, long nowNanos) {
         Deadlines deadlines = new Deadlines(nowNanos, MAX_STEP_MILLIS);
         if (isFollowing) {
             dialogue.addDeadlines(deadlines, age);
             deadlines.add(silentNanos());
             deadlines.add(overdueNanos());
+            deadlines.add(reads.againNanos(READ_AGAIN_MILLIS));
         }
         if (!isFollowing || !isKnown) {
-            reads.addDeadlines(deadlines);
+            reads.addDeadlines(deadlines, watchMillis(isController));
         }
         return deadlines.waitMillis();
     }
--- a/daisyscale-core/src/test/java/org/daisyscale/core/following/ViewFollowerTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/following/ViewFollowerTest.java
@@ -119,6 +119,35 @@
         assertThat(driver.follower().ageMillis(driver.nowNanos())).isEqualTo(400);
     }
 
+    /** What waited while this router stood still may have arrived at any time since its last step. */
+    @Test
+    void shouldBeAsOldAsItsLastStepWhenItStoodStill() {
+        driver.follow(7);
+        driver.pass(3_000);
+
+        driver.hear(7);
+
+        assertThat(driver.follower().ageMillis(driver.nowNanos())).isEqualTo(3_000);
+        assertThat(driver.follower().isTold(driver.nowNanos())).isFalse();
+    }
+
+    @Test
+    void shouldNotReportWhatItReadBeforeItStoodStill() {
+        driver.becomeController();
+        driver.list(7);
+        driver.advance(FollowerDriver.BATCH_MILLIS);
+        driver.pass(3_000);
+
+        assertThat(driver.follower().recordRead(FollowerDriver.version(8), 1, true, driver.nowNanos()))
+                .isFalse();
+
+        assertThat(driver.follower().ageMillis(driver.nowNanos())).isEqualTo(3_000);
+        driver.step();
+        driver.advance(FollowerDriver.BATCH_MILLIS);
+        assertThat(driver.follower().recordRead(FollowerDriver.version(9), 1, true, driver.nowNanos()))
+                .isTrue();
+    }
+
     /** The controller may keep a lapsed item longer, so that its items differ at the same revision. */
     @Test
     void shouldBecomeCurrentByAReadAtTheRevisionOfAReportOfOtherItems() {
