--- a/daisyscale-core/src/test/java/org/daisyscale/core/following/ModelRouter.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/following/ModelRouter.java
@@ -225,7 +225,6 @@
             view.removeLapsed();
             checks.recordStep(this, "end of grace");
             follower.recordChanged(view.version());
-            mustReport = true;
         }
     }
 
