--- a/daisyscale-core/src/test/java/org/daisyscale/core/following/FollowingModelTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/following/FollowingModelTest.java
@@ -11,10 +11,18 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
- * Compares routers that follow a prefix with a list of versions, under random faults. A router that reaches the store,
- * or a controller that reaches it, knows each change within the time limit; whatever happens, no view goes back, and no
- * age is below the time since something was reported that the view lacks. More seeds by hand: {@code
- * -Dfollowing.model.seeds=50}; the first one: {@code -Dfollowing.model.first=1}.
+ * Compares routers that follow a prefix with a list of versions, under random faults. Whatever happens, no view goes
+ * back, and no age is below the time since something was reported that the view lacks. A router that is not frozen
+ * knows each change within the time limit under either of two premises:
+ *
+ * <ul>
+ *   <li>The store answers within 100 ms, with a state that is at most 50 ms older than the call; a call fails within
+ *       600 ms or is a watch that is never answered, and of two calls of a router at most one fails.
+ *   <li>The controller has the store as above, without failures; of two messages of a kind between it and the router
+ *       one arrives within 100 ms.
+ * </ul>
+ *
+ * More seeds by hand: {@code -Dfollowing.model.seeds=50}; the first one: {@code -Dfollowing.model.first=1}.
  */
 class FollowingModelTest {
     private static final long CHANGES_START_MILLIS = 5_000;
