--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/FollowDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/FollowDuty.java
@@ -256,7 +256,6 @@
         if (contents.hasLapsed() && !reachability.isUnreachable() && !isWithinGrace()) {
             contents.removeLapsed();
             follower.recordChanged(contents.version());
-            mustReport = true;
         }
     }
 
