--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/following/LapsedAtTheFormerControllerTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/following/LapsedAtTheFormerControllerTest.java
@@ -2,9 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.time.Duration;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
@@ -13,14 +11,12 @@
 import org.daisyscale.core.following.ReadRequest;
 import org.daisyscale.core.following.Teller;
 import org.daisyscale.core.following.ViewFollower;
-import org.daisyscale.core.following.ViewListener;
 import org.daisyscale.core.following.ViewVersion;
 import org.daisyscale.core.peer.PeerMessage;
 import org.daisyscale.core.platform.CoordinationStore.Changes;
 import org.daisyscale.core.platform.CoordinationStore.Item;
 import org.daisyscale.core.platform.CoordinationStore.ItemChange;
 import org.daisyscale.core.platform.CoordinationStore.Listing;
-import org.daisyscale.router.internal.ring.Ring;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -32,10 +28,10 @@
     private static final String PREFIX = "servers/";
     private static final Teller CONTROLLER = new Teller("r1", 1);
 
-    private final List<String> removedKeys = new ArrayList<>();
+    private final RemovalListener listener = new RemovalListener();
     private final Deque<ReadRequest> requests = new ArrayDeque<>();
     private final QueueRing inbox = new QueueRing();
-    private final ItemView view = new ItemView(PREFIX, new RemovalListener());
+    private final ItemView view = new ItemView(PREFIX, listener);
     private long nowNanos = 77 * MILLIS;
     private long readNumber;
     private boolean isController;
@@ -111,7 +107,7 @@
             answerRead(revision, staying);
         }
 
-        assertThat(removedKeys).containsExactly("servers/x");
+        assertThat(listener.removedKeys()).containsExactly("servers/x");
     }
 
     /** The other routers, of which none has said what it holds. */
@@ -131,56 +127,4 @@
             // Nobody is connected.
         }
     }
-
-    private final class RemovalListener implements ViewListener {
-        @Override
-        public void onWritten(Item item, long maxAgeMillis) {
-            // Only removals count.
-        }
-
-        @Override
-        public void onRemoved(String key) {
-            removedKeys.add(key);
-        }
-
-        @Override
-        public void onComplete() {
-            // Only removals count.
-        }
-    }
-
-    /** A ring that never waits. */
-    private static final class QueueRing implements Ring<FollowEvent> {
-        private final Deque<FollowEvent> queue = new ArrayDeque<>();
-
-        @Override
-        public String name() {
-            return "queue";
-        }
-
-        @Override
-        public boolean offer(FollowEvent item) {
-            return queue.offer(item);
-        }
-
-        @Override
-        public void put(FollowEvent item) {
-            queue.add(item);
-        }
-
-        @Override
-        public Optional<FollowEvent> poll(Duration timeout) {
-            return Optional.ofNullable(queue.poll());
-        }
-
-        @Override
-        public int size() {
-            return queue.size();
-        }
-
-        @Override
-        public int capacity() {
-            return Integer.MAX_VALUE;
-        }
-    }
 }
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/following/OldResponseTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/following/OldResponseTest.java
@@ -2,21 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import org.daisyscale.core.following.ItemView;
 import org.daisyscale.core.following.ViewFollower;
-import org.daisyscale.core.following.ViewListener;
 import org.daisyscale.core.peer.PeerMessage;
 import org.daisyscale.core.platform.CoordinationStore.Changes;
-import org.daisyscale.core.platform.CoordinationStore.Item;
 import org.daisyscale.core.platform.CoordinationStore.Listing;
-import org.daisyscale.router.internal.ring.Ring;
 import org.junit.jupiter.api.Test;
 
 /** Guards against routers that count as current because the controller got a response that was on its way for long. */
@@ -25,15 +19,15 @@
     private static final String PREFIX = "servers/";
 
     private final List<PeerMessage> reports = new ArrayList<>();
-    private final Deque<FollowEvent> events = new ArrayDeque<>();
-    private final ItemView view = new ItemView(PREFIX, new IgnoringListener());
+    private final QueueRing events = new QueueRing();
+    private final ItemView view = new ItemView(PREFIX, new RemovalListener());
     private long nowNanos = 77 * MILLIS;
     private long readNumber;
     private final FollowDuty duty = new FollowDuty(
             PREFIX,
             view,
             new ViewFollower(new SplittableRandom(1), 200, false, nowNanos),
-            new EventRing(),
+            events,
             (number, request) -> readNumber = number,
             new ControllerPeers(),
             new FollowReports((event, detail) -> {}, result -> {}, nanos -> {}),
@@ -50,7 +44,7 @@
 
     private void respondAfter(long millis, FollowEvent response) throws InterruptedException {
         nowNanos += millis * MILLIS;
-        events.add(response);
+        events.offer(response);
         duty.runStep();
     }
 
@@ -96,54 +90,4 @@
             // No router has said what it holds.
         }
     }
-
-    private static final class IgnoringListener implements ViewListener {
-        @Override
-        public void onWritten(Item item, long maxAgeMillis) {
-            // Only reports count.
-        }
-
-        @Override
-        public void onRemoved(String key) {
-            // Only reports count.
-        }
-
-        @Override
-        public void onComplete() {
-            // Only reports count.
-        }
-    }
-
-    /** A ring that never waits. */
-    private final class EventRing implements Ring<FollowEvent> {
-        @Override
-        public String name() {
-            return "events";
-        }
-
-        @Override
-        public boolean offer(FollowEvent item) {
-            return events.offer(item);
-        }
-
-        @Override
-        public void put(FollowEvent item) {
-            events.add(item);
-        }
-
-        @Override
-        public Optional<FollowEvent> poll(Duration timeout) {
-            return Optional.ofNullable(events.poll());
-        }
-
-        @Override
-        public int size() {
-            return events.size();
-        }
-
-        @Override
-        public int capacity() {
-            return Integer.MAX_VALUE;
-        }
-    }
 }
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/following/OutageThatEndedUnseenTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/following/OutageThatEndedUnseenTest.java
@@ -2,23 +2,18 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.time.Duration;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import java.util.Optional;
 import java.util.SplittableRandom;
 import org.daisyscale.core.following.ItemView;
 import org.daisyscale.core.following.ReadRequest;
 import org.daisyscale.core.following.Teller;
 import org.daisyscale.core.following.ViewFollower;
-import org.daisyscale.core.following.ViewListener;
 import org.daisyscale.core.following.ViewVersion;
 import org.daisyscale.core.peer.PeerMessage;
 import org.daisyscale.core.platform.CoordinationStore.Item;
 import org.daisyscale.core.platform.CoordinationStore.Listing;
-import org.daisyscale.router.internal.ring.Ring;
 import org.daisyscale.router.serving.StoreException;
 import org.junit.jupiter.api.Test;
 
@@ -28,10 +23,10 @@
     private static final String PREFIX = "servers/";
     private static final Teller CONTROLLER = new Teller("r1", 1);
 
-    private final List<String> removedKeys = new ArrayList<>();
+    private final RemovalListener listener = new RemovalListener();
     private final Deque<ReadRequest> requests = new ArrayDeque<>();
     private final QueueRing inbox = new QueueRing();
-    private final ItemView view = new ItemView(PREFIX, new RemovalListener());
+    private final ItemView view = new ItemView(PREFIX, listener);
     private long nowNanos = 77 * MILLIS;
     private long readNumber;
     private final FollowDuty duty = new FollowDuty(
@@ -92,7 +87,7 @@
         awaitRead();
         listStore(30, staying);
 
-        assertThat(removedKeys).containsExactly("servers/x");
+        assertThat(listener.removedKeys()).containsExactly("servers/x");
     }
 
     /** A router that hears of changes but sends nothing. */
@@ -112,56 +107,4 @@
             // Nobody is connected.
         }
     }
-
-    private final class RemovalListener implements ViewListener {
-        @Override
-        public void onWritten(Item item, long maxAgeMillis) {
-            // Only removals count.
-        }
-
-        @Override
-        public void onRemoved(String key) {
-            removedKeys.add(key);
-        }
-
-        @Override
-        public void onComplete() {
-            // Only removals count.
-        }
-    }
-
-    /** A ring that never waits. */
-    private static final class QueueRing implements Ring<FollowEvent> {
-        private final Deque<FollowEvent> queue = new ArrayDeque<>();
-
-        @Override
-        public String name() {
-            return "queue";
-        }
-
-        @Override
-        public boolean offer(FollowEvent item) {
-            return queue.offer(item);
-        }
-
-        @Override
-        public void put(FollowEvent item) {
-            queue.add(item);
-        }
-
-        @Override
-        public Optional<FollowEvent> poll(Duration timeout) {
-            return Optional.ofNullable(queue.poll());
-        }
-
-        @Override
-        public int size() {
-            return queue.size();
-        }
-
-        @Override
-        public int capacity() {
-            return Integer.MAX_VALUE;
-        }
-    }
 }
