--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/AttemptSender.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/AttemptSender.java
@@ -51,6 +51,7 @@
                 action.timeLeftMillis() + TIMEOUT_MARGIN_MILLIS,
                 dialect::match,
                 end -> handleEnd(exchange, action.attempt(), end));
+        call.identifyBy(dialect::requestId);
         if (exchange.wasSentTo(server.id())) {
             call.requireNewConnection();
         }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/Connector.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/Connector.java
@@ -18,16 +18,18 @@
     private final Bootstrap bootstrap;
     private final Address address;
     private final ByteBudget responseBytes;
+    private final ExtraResponseListener extraResponses;
 
-    Connector(Bootstrap bootstrap, Address address, ByteBudget responseBytes) {
+    Connector(Bootstrap bootstrap, Address address, ByteBudget responseBytes, ExtraResponseListener extraResponses) {
         this.bootstrap = bootstrap;
         this.address = address;
         this.responseBytes = responseBytes;
+        this.extraResponses = extraResponses;
     }
 
     /** Creates a connection of {@code owner} that is not open yet. */
     HttpConnection create(ConnectionOwner owner) {
-        return new HttpConnection(owner, responseBytes);
+        return new HttpConnection(owner, responseBytes, new ResponseHistory(address, extraResponses));
     }
 
     ChannelFuture open(HttpConnection connection) {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpCall.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpCall.java
@@ -4,10 +4,12 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.daisyscale.router.serving.AnswerMatch;
 import org.daisyscale.router.serving.ServingRouterSettings.Address;
 import org.daisyscale.router.serving.WireReply;
@@ -30,6 +32,7 @@
     private Channel channel;
     private boolean isOver;
     private boolean wasWritten;
+    private Function<HttpHeaders, Optional<String>> requestIds = headers -> Optional.empty();
     private boolean needsNewConnection;
     private boolean hasSendLimit;
     private long sendBeforeNanos;
@@ -84,6 +87,23 @@
         return matcher.apply(request.headers(), answerHeaders);
     }
 
+    /**
+     * Makes the connection tell responses to this call from copies of earlier ones by their request ids, which {@code
+     * newRequestIds} reads from the headers of requests and responses. Must be called before the call is started.
+     */
+    void identifyBy(Function<HttpHeaders, Optional<String>> newRequestIds) {
+        requestIds = newRequestIds;
+    }
+
+    Function<HttpHeaders, Optional<String>> requestIds() {
+        return requestIds;
+    }
+
+    /** Returns the id that a response to this call bears; empty if it bears none. */
+    Optional<String> requestId() {
+        return requestIds.apply(request.headers());
+    }
+
     /** Makes the call use a new connection, on which no response to an earlier call can arrive a second time. */
     void requireNewConnection() {
         needsNewConnection = true;
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
@@ -1,6 +1,7 @@
 package org.daisyscale.router.internal.serving;
 
 import com.google.common.primitives.Longs;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.HttpContent;
@@ -46,6 +47,7 @@
 
     private final ConnectionOwner owner;
     private final ByteBudget responseBytes;
+    private final ResponseHistory history;
     private ChannelHandlerContext context;
     private HttpCall call;
     private HttpResponse head;
@@ -59,9 +61,10 @@
     private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
     private long idleSinceNanos;
 
-    HttpConnection(ConnectionOwner owner, ByteBudget responseBytes) {
+    HttpConnection(ConnectionOwner owner, ByteBudget responseBytes, ResponseHistory history) {
         this.owner = owner;
         this.responseBytes = responseBytes;
+        this.history = history;
     }
 
     @Override
@@ -86,6 +89,7 @@
         skippedBytes = 0;
         isRequestWritten = false;
         call.markWritten(context.channel());
+        history.recordSent(call);
         context.writeAndFlush(newCall.request()).addListener(written -> {
             if (call == newCall) {
                 isRequestWritten = written.isSuccess();
@@ -114,13 +118,18 @@
 
     private void handleHead(HttpResponse response) {
         if (call == null) {
+            history.reportExtra(response, id(), null);
             fail(HttpCall.Failure.SPOILED, "response received while no call is in flight");
             return;
         }
         AnswerMatch match = call.match(response.headers());
         isSkippingResponse =
                 response.status().codeClass() == HttpStatusClass.INFORMATIONAL || match == AnswerMatch.ANOTHER_REQUEST;
+        if (match == AnswerMatch.ANOTHER_REQUEST) {
+            history.reportExtra(response, id(), call);
+        }
         if (!isSkippingResponse && match == AnswerMatch.UNNAMED && hasSeenResponse) {
+            history.reportExtra(response, id(), call);
             fail(HttpCall.Failure.SPOILED, "response names no request and may duplicate an earlier response");
         } else if (!isSkippingResponse) {
             head = response;
@@ -135,8 +144,13 @@
         return call == null;
     }
 
-    /** Closes the connection after bytes arrived while no call was in flight. */
-    void closeOnUnexpectedBytes() {
+    private String id() {
+        return context.channel().id().asShortText();
+    }
+
+    /** Closes the connection after {@code bytes} arrived while no call was in flight. */
+    void closeOnUnexpectedBytes(ByteBuf bytes) {
+        history.reportUnexpected(bytes, id());
         fail(HttpCall.Failure.SPOILED, "bytes received while no call is in flight");
     }
 
@@ -212,6 +226,7 @@
         call = null;
         head = null;
         idleSinceNanos = System.nanoTime();
+        history.recordAnswered(finished, idleSinceNanos);
         if (HttpUtil.isKeepAlive(answer)
                 && isRequestWritten
                 && context.channel().isActive()) {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpLoop.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpLoop.java
@@ -46,6 +46,7 @@
 
     private static final long CLOSE_TIMEOUT_MILLIS = 500;
 
+    private final ExtraResponseListener extraResponses;
     private final NioEventLoopGroup group;
     private final EventLoop loop;
     private final Bootstrap bootstrap;
@@ -54,7 +55,8 @@
     private final Map<ServerAddress, ConnectionPool> poolByServer = new HashMap<>();
     private final Map<Address, PinnedConnection> pinnedByAddress = new HashMap<>();
 
-    private HttpLoop(String threadName) {
+    private HttpLoop(String threadName, ExtraResponseListener extraResponses) {
+        this.extraResponses = extraResponses;
         this.group = new NioEventLoopGroup(1, task -> {
             Thread thread = new FastThreadLocalThread(task, threadName);
             thread.setDaemon(true);
@@ -75,7 +77,12 @@
 
     /** Starts the event loop on a thread named {@code threadName}. */
     public static HttpLoop start(String threadName) {
-        HttpLoop httpLoop = new HttpLoop(threadName);
+        return start(threadName, extra -> {});
+    }
+
+    /** Starts the event loop as above; {@code extraResponses} receives the responses that no call was waiting for. */
+    static HttpLoop start(String threadName, ExtraResponseListener extraResponses) {
+        HttpLoop httpLoop = new HttpLoop(threadName, extraResponses);
         httpLoop.loop.scheduleWithFixedDelay(httpLoop::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
         return httpLoop;
     }
@@ -124,7 +131,7 @@
     }
 
     private Connector connector(Address address) {
-        return new Connector(bootstrap, address, responseBytes);
+        return new Connector(bootstrap, address, responseBytes, extraResponses);
     }
 
     private void startPooled(HttpCall call) {
--- /dev/null
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ResponseHistory.java
@@ -0,0 +1,73 @@
+package org.daisyscale.router.internal.serving;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Function;
+import org.daisyscale.core.serving.CarriedCalls;
+import org.daisyscale.router.internal.serving.ExtraResponse.Kind;
+import org.daisyscale.router.serving.ServingRouterSettings.Address;
+
+/**
+ * Records what one connection carried, and reports each response that no call was waiting for. Not thread-safe;
+ * confined to the thread of its event loop.
+ */
+final class ResponseHistory {
+    private static final String NO_ID = "";
+
+    private final Address server;
+    private final ExtraResponseListener listener;
+    private final CarriedCalls carriedCalls = new CarriedCalls();
+    private Function<HttpHeaders, Optional<String>> requestIds = headers -> Optional.empty();
+
+    ResponseHistory(Address server, ExtraResponseListener listener) {
+        this.server = server;
+        this.listener = listener;
+    }
+
+    void recordSent(HttpCall call) {
+        requestIds = call.requestIds();
+        call.requestId().ifPresent(carriedCalls::recordSent);
+    }
+
+    void recordAnswered(HttpCall call, long nowNanos) {
+        call.requestId().ifPresent(id -> carriedCalls.recordAnswered(id, nowNanos));
+    }
+
+    /** Reports a response that does not belong to {@code inFlight}, which is null on an idle connection. */
+    void reportExtra(HttpResponse head, String connectionId, HttpCall inFlight) {
+        String requestId = requestIds.apply(head.headers()).orElse(NO_ID);
+        OptionalLong firstNanos = carriedCalls.firstAnswerNanos(requestId);
+        Kind kind = requestId.equals(NO_ID) ? Kind.UNNAMED : firstNanos.isPresent() ? Kind.COPY : Kind.FOREIGN;
+        long millisSinceFirst = kind == Kind.COPY ? millisSince(firstNanos.getAsLong()) : ExtraResponse.NO_FIRST;
+        listener.onExtraResponse(new ExtraResponse(
+                kind, requestId, head.status().code(), server, connectionId, millisSinceFirst, describe(inFlight)));
+    }
+
+    /** Reports {@code bytes} that were received while the connection was idle; they are neither kept nor released. */
+    void reportUnexpected(ByteBuf bytes, String connectionId) {
+        ResponseHeads.decode(bytes)
+                .ifPresentOrElse(
+                        head -> reportExtra(head, connectionId, null),
+                        () -> listener.onExtraResponse(new ExtraResponse(
+                                Kind.NOT_A_RESPONSE,
+                                NO_ID,
+                                0,
+                                server,
+                                connectionId,
+                                ExtraResponse.NO_FIRST,
+                                ExtraResponse.NOTHING_IN_FLIGHT)));
+    }
+
+    private static String describe(HttpCall inFlight) {
+        return inFlight == null
+                ? ExtraResponse.NOTHING_IN_FLIGHT
+                : inFlight.requestId().orElse(NO_ID);
+    }
+
+    private static long millisSince(long nanos) {
+        return (System.nanoTime() - nanos) / 1_000_000L;
+    }
+}
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -83,7 +83,7 @@
         RatpackServer ready = HttpServers.start(settings.readiness(), this::answerReadiness);
         RatpackServer callers = HttpServers.start(settings.callers(), createCallerHandler());
         EventLog.info("started", "router=" + settings.serving().routerId() + " settings=" + settings);
-        try (HttpLoop loop = HttpLoop.start("calls");
+        try (HttpLoop loop = HttpLoop.start("calls", this::reportExtraResponse);
                 ControllerLink controller = new ControllerLink(
                         settings.serving().routerId(),
                         settings.peers(),
@@ -116,6 +116,11 @@
         HttpServers.stop(ready);
     }
 
+    private void reportExtraResponse(ExtraResponse extra) {
+        metrics.extraResponse(extra.kind());
+        EventLog.info("extra-response", extra.describe());
+    }
+
     /** Starts the metrics page; returns empty when it cannot listen, because a router serves without it as well. */
     private Optional<RatpackServer> startMetricsPage() {
         try {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingMetrics.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingMetrics.java
@@ -27,6 +27,7 @@
     private final Counter attempts;
     private final Counter ringFull;
     private final Counter keyCalls;
+    private final Counter extraResponses;
     private final Counter controllerUpdates;
     private final Counter storeReads;
     private final AtomicLong configurationVersion = new AtomicLong();
@@ -37,6 +38,8 @@
         attempts = counter("daisyscale_serving_attempts", "Attempts at backend servers by outcome", "outcome");
         ringFull = counter("daisyscale_serving_ring_full", "Items that found a ring full", "ring");
         keyCalls = counter("daisyscale_serving_key_calls", "Grants and releases by end", "end");
+        extraResponses = counter(
+                "daisyscale_serving_extra_responses", "Responses that no call was waiting for, by kind", "kind");
         controllerUpdates = counter(
                 "daisyscale_serving_controller_updates",
                 "Updates of the controller by what became of them at this router",
@@ -85,6 +88,11 @@
         keyCalls.labelValues(end).inc();
     }
 
+    /** Records a response, or other bytes, that no call was waiting for. */
+    void extraResponse(ExtraResponse.Kind kind) {
+        extraResponses.labelValues(kind.label()).inc();
+    }
+
     /** Records what became of an update that the controller sent for {@code prefix}. */
     void controllerUpdate(String prefix, UpdateResult result) {
         controllerUpdates.labelValues(prefix, result.label()).inc();
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/UnexpectedBytesHandler.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/UnexpectedBytesHandler.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.util.ReferenceCountUtil;
 
 /**
  * Closes a connection on which bytes arrive while no call is in flight, or too many before the response to the call in
@@ -18,10 +17,11 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+        ByteBuf bytes = (ByteBuf) message;
         if (connection.isIdle()) {
-            ReferenceCountUtil.release(message);
-            connection.closeOnUnexpectedBytes();
-        } else if (message instanceof ByteBuf bytes && connection.isSkippingTooMuch(bytes.readableBytes())) {
+            connection.closeOnUnexpectedBytes(bytes);
+            bytes.release();
+        } else if (connection.isSkippingTooMuch(bytes.readableBytes())) {
             bytes.release();
             connection.closeOnTooManySkippedBytes();
         } else {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/serving/BackendDialect.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/serving/BackendDialect.java
@@ -17,6 +17,9 @@
      */
     void addRequestHeaders(HttpHeaders headers, BackendServer server, long timeLeftMillis);
 
+    /** Returns the request id that a request or a response bears; empty if it bears none. */
+    Optional<String> requestId(HttpHeaders headers);
+
     /**
      * Returns which request a response with {@code answerHeaders} names while a request with {@code requestHeaders}
      * waits.
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/NamedAnswersDialect.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/NamedAnswersDialect.java
@@ -21,6 +21,11 @@
         headers.set("Left", timeLeftMillis);
     }
 
+    @Override
+    public Optional<String> requestId(HttpHeaders headers) {
+        return Optional.ofNullable(headers.get("Id"));
+    }
+
     @Override
     public AnswerMatch match(HttpHeaders requestHeaders, HttpHeaders answerHeaders) {
         if (answerHeaders.get("Id") == null) {
