--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/CarriedCalls.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/CarriedCalls.java
@@ -7,18 +7,32 @@
 import java.util.OptionalLong;
 
 /**
- * Remembers the calls that one connection has carried, by the name that their responses bear. A server may send a
- * response a second time, so one that bears the name of an answered call may be a copy.
+ * Remembers the calls that one connection has carried, by the name that their responses bear, and decides which calls
+ * it may carry. A server may send a response a second time; on a connection that carries each name once, the copy is
+ * never taken for the response to a later call.
  *
- * <p>Invariant: a call that was recorded is never forgotten.
+ * <p>Invariants: a call that was recorded is never forgotten; a connection whose calls are full carries no further one.
  *
  * <p>Not thread-safe.
  */
 public final class CarriedCalls {
+    /** Limit of the calls of one connection; bounds the memory for them. */
+    public static final int MAX_CALLS = 256;
+
     private static final long NOT_ANSWERED = Long.MIN_VALUE;
 
     private final Map<Long, Long> firstAnswerNanosByName = new HashMap<>();
 
+    /** Returns whether the connection may carry a call whose responses bear {@code name}. */
+    public boolean mayCarry(String name) {
+        return !isFull() && !firstAnswerNanosByName.containsKey(hash(name));
+    }
+
+    /** Returns whether the connection may carry no further call and must be closed. */
+    public boolean isFull() {
+        return firstAnswerNanosByName.size() >= MAX_CALLS;
+    }
+
     /** Records that a call whose responses bear {@code name} was sent. */
     public void recordSent(String name) {
         firstAnswerNanosByName.putIfAbsent(hash(name), NOT_ANSWERED);
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/AttemptSender.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/AttemptSender.java
@@ -52,9 +52,6 @@
                 dialect::match,
                 end -> handleEnd(exchange, action.attempt(), end));
         call.identifyBy(dialect::requestId);
-        if (exchange.wasSentTo(server.id())) {
-            call.requireNewConnection();
-        }
         long maxUnsentMillis = Math.min(MAX_UNSENT_MILLIS, action.timeLeftMillis());
         call.expireUnsentAt(System.nanoTime() + maxUnsentMillis * 1_000_000L);
         exchange.startAttempt(server.id(), call);
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ConnectionPool.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ConnectionPool.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.Optional;
 import java.util.Set;
 
@@ -29,20 +30,28 @@
     }
 
     void send(HttpCall call) {
-        if (call.isNewConnectionNeeded()) {
+        Optional<HttpConnection> connection = takeIdle(call);
+        if (connection.isPresent()) {
+            connection.get().send(call);
+        } else {
             connect(call, check);
-            return;
-        }
-        HttpConnection connection = idle.pollFirst();
-        while (connection != null && !connection.isUsable()) {
-            connection.close();
-            connection = idle.pollFirst();
         }
-        if (connection == null) {
-            connect(call, check);
-        } else {
-            connection.send(call);
+    }
+
+    /** Takes the most recently used connection that may carry {@code call}; closes the unusable ones before it. */
+    private Optional<HttpConnection> takeIdle(HttpCall call) {
+        Iterator<HttpConnection> connections = idle.iterator();
+        while (connections.hasNext()) {
+            HttpConnection connection = connections.next();
+            if (!connection.isUsable()) {
+                connections.remove();
+                connection.close();
+            } else if (connection.mayCarry(call)) {
+                connections.remove();
+                return Optional.of(connection);
+            }
         }
+        return Optional.empty();
     }
 
     private void connect(HttpCall call, Optional<ProcessCheck> neededCheck) {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/Exchange.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/Exchange.java
@@ -1,8 +1,6 @@
 package org.daisyscale.router.internal.serving;
 
 import io.netty.handler.codec.http.HttpHeaders;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
@@ -24,7 +22,6 @@
     private final Consumer<Outcome> onOutcome;
     private final AtomicBoolean isOver = new AtomicBoolean();
     private final AtomicReference<HttpCall> call = new AtomicReference<>();
-    private final Set<String> triedServerIds = ConcurrentHashMap.newKeySet();
     private volatile WireReply reply;
     private volatile String serverId = "";
 
@@ -81,15 +78,9 @@
     /** Records that an attempt is sent to {@code newServerId} by {@code newCall}. */
     void startAttempt(String newServerId, HttpCall newCall) {
         serverId = newServerId;
-        triedServerIds.add(newServerId);
         call.set(newCall);
     }
 
-    /** Returns whether an earlier attempt went to the server, so that its response may arrive a second time. */
-    boolean wasSentTo(String server) {
-        return triedServerIds.contains(server);
-    }
-
     HttpCall call() {
         return call.get();
     }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpCall.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpCall.java
@@ -24,6 +24,9 @@
     /** Limits the additional checks, so that a call ends even if the event loop stays behind. */
     private static final int MAX_LATE_CHECKS = 3;
 
+    /** Stands for the request id of headers that bear none. */
+    static final String NO_REQUEST_ID = "";
+
     private final Address address;
     private final FullHttpRequest request;
     private final CallTimeouts timeouts;
@@ -32,8 +35,7 @@
     private Channel channel;
     private boolean isOver;
     private boolean wasWritten;
-    private Function<HttpHeaders, Optional<String>> requestIds = headers -> Optional.empty();
-    private boolean needsNewConnection;
+    private Optional<Function<HttpHeaders, Optional<String>>> requestIds = Optional.empty();
     private boolean hasSendLimit;
     private long sendBeforeNanos;
     private long checkDueNanos;
@@ -88,29 +90,24 @@
     }
 
     /**
-     * Makes the connection tell responses to this call from copies of earlier ones by their request ids, which {@code
-     * newRequestIds} reads from the headers of requests and responses. Must be called before the call is started.
+     * Makes the call use a connection on which no copy of an earlier response can be taken for the response to this
+     * call: one that has not carried its request id, or, for a call without one, no other call without one. Must be
+     * called before the call is started.
+     *
+     * @param newRequestIds returns the request id from the headers of a request or response
      */
     void identifyBy(Function<HttpHeaders, Optional<String>> newRequestIds) {
-        requestIds = newRequestIds;
+        requestIds = Optional.of(newRequestIds);
     }
 
-    Function<HttpHeaders, Optional<String>> requestIds() {
+    /** Returns the function of {@link #identifyBy}; empty if copies of earlier responses are not expected. */
+    Optional<Function<HttpHeaders, Optional<String>>> requestIds() {
         return requestIds;
     }
 
-    /** Returns the id that a response to this call bears; empty if it bears none. */
-    Optional<String> requestId() {
-        return requestIds.apply(request.headers());
-    }
-
-    /** Makes the call use a new connection, on which no response to an earlier call can arrive a second time. */
-    void requireNewConnection() {
-        needsNewConnection = true;
-    }
-
-    boolean isNewConnectionNeeded() {
-        return needsNewConnection;
+    /** Returns the request id that the response to this call bears; empty if copies are not expected. */
+    Optional<String> responseName() {
+        return requestIds.map(ids -> ids.apply(request.headers()).orElse(NO_REQUEST_ID));
     }
 
     boolean isOver() {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
@@ -22,10 +22,11 @@
 import org.daisyscale.router.serving.WireReply;
 
 /**
- * A persistent connection that carries one call at a time. Responses to other calls are skipped. The connection is
- * closed and never reused when bytes arrive while no call is in flight, when a response that names no request follows
- * an earlier response, when a response or what is skipped before it is too large, when a response ends before the whole
- * request was sent, and on any other failure. Not thread-safe; confined to the thread of its event loop.
+ * A persistent connection that carries one call at a time, and each request id once. Responses to other calls are
+ * skipped. The connection is closed and never reused when bytes arrive while no call is in flight, when a response that
+ * names no request follows an earlier response, when a response or what is skipped before it is too large, when a
+ * response ends before the whole request was sent, when it has carried as many calls as it can remember, and on any
+ * other failure. Not thread-safe; confined to the thread of its event loop.
  */
 final class HttpConnection extends SimpleChannelInboundHandler<HttpObject> {
     /**
@@ -78,6 +79,11 @@
         return context.channel().isActive() && !isBroken && idleMillis < keepAliveMillis;
     }
 
+    /** Returns whether no response to an earlier call on this connection can be taken for that to {@code next}. */
+    boolean mayCarry(HttpCall next) {
+        return history.mayCarry(next);
+    }
+
     void close() {
         isBroken = true;
         context.close();
@@ -229,6 +235,7 @@
         history.recordAnswered(finished, idleSinceNanos);
         if (HttpUtil.isKeepAlive(answer)
                 && isRequestWritten
+                && !history.isFull()
                 && context.channel().isActive()) {
             keepAliveMillis = keepAliveMillis(answer);
             owner.release(this);
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ResponseHistory.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ResponseHistory.java
@@ -15,32 +15,42 @@
  * confined to the thread of its event loop.
  */
 final class ResponseHistory {
-    private static final String NO_ID = "";
-
     private final Address server;
     private final ExtraResponseListener listener;
     private final CarriedCalls carriedCalls = new CarriedCalls();
-    private Function<HttpHeaders, Optional<String>> requestIds = headers -> Optional.empty();
+    private Optional<Function<HttpHeaders, Optional<String>>> requestIds = Optional.empty();
 
     ResponseHistory(Address server, ExtraResponseListener listener) {
         this.server = server;
         this.listener = listener;
     }
 
+    /** Returns whether no response to an earlier call can be taken for that to {@code call}. */
+    boolean mayCarry(HttpCall call) {
+        return call.responseName().map(carriedCalls::mayCarry).orElse(true);
+    }
+
+    /** Returns whether the connection must be closed, since it carried as many calls as can be remembered. */
+    boolean isFull() {
+        return carriedCalls.isFull();
+    }
+
     void recordSent(HttpCall call) {
         requestIds = call.requestIds();
-        call.requestId().ifPresent(carriedCalls::recordSent);
+        call.responseName().ifPresent(carriedCalls::recordSent);
     }
 
     void recordAnswered(HttpCall call, long nowNanos) {
-        call.requestId().ifPresent(id -> carriedCalls.recordAnswered(id, nowNanos));
+        call.responseName().ifPresent(name -> carriedCalls.recordAnswered(name, nowNanos));
     }
 
     /** Reports a response that does not belong to {@code inFlight}, which is null on an idle connection. */
     void reportExtra(HttpResponse head, String connectionId, HttpCall inFlight) {
-        String requestId = requestIds.apply(head.headers()).orElse(NO_ID);
+        String requestId = requestIds.flatMap(ids -> ids.apply(head.headers())).orElse(HttpCall.NO_REQUEST_ID);
         OptionalLong firstNanos = carriedCalls.firstAnswerNanos(requestId);
-        Kind kind = requestId.equals(NO_ID) ? Kind.UNNAMED : firstNanos.isPresent() ? Kind.COPY : Kind.FOREIGN;
+        Kind kind = requestId.equals(HttpCall.NO_REQUEST_ID)
+                ? Kind.UNNAMED
+                : firstNanos.isPresent() ? Kind.COPY : Kind.FOREIGN;
         long millisSinceFirst = kind == Kind.COPY ? millisSince(firstNanos.getAsLong()) : ExtraResponse.NO_FIRST;
         listener.onExtraResponse(new ExtraResponse(
                 kind, requestId, head.status().code(), server, connectionId, millisSinceFirst, describe(inFlight)));
@@ -53,7 +63,7 @@
                         head -> reportExtra(head, connectionId, null),
                         () -> listener.onExtraResponse(new ExtraResponse(
                                 Kind.NOT_A_RESPONSE,
-                                NO_ID,
+                                HttpCall.NO_REQUEST_ID,
                                 0,
                                 server,
                                 connectionId,
@@ -64,7 +74,7 @@
     private static String describe(HttpCall inFlight) {
         return inFlight == null
                 ? ExtraResponse.NOTHING_IN_FLIGHT
-                : inFlight.requestId().orElse(NO_ID);
+                : inFlight.responseName().orElse(HttpCall.NO_REQUEST_ID);
     }
 
     private static long millisSince(long nanos) {
