--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
@@ -47,7 +47,7 @@
     private final Consumer<KeyEvent> keyEvents;
     private final EventReporter log;
     private final Ring<Event> peerEvents = new ArrayRing<>("peer-events", RING_CAPACITY);
-    private final Map<String, RouterEntry> routerById = new HashMap<>();
+    private final KnownRouters routers = new KnownRouters();
     /** The key maps that this router published, also before it knew itself as the controller. */
     private final Map<String, KeyMap> publishedByService = new HashMap<>();
     /** The newest key maps of each other router, by service; a change applies only to a map of the same router. */
@@ -130,15 +130,18 @@
 
     /** Adds a router that has registered itself. */
     synchronized void addRouter(RouterEntry router) {
-        routerById.put(router.routerId(), router);
+        routers.add(router);
         updateWantedPeers();
     }
 
-    /** Removes a router that is no longer registered. */
+    /** Records that a router is no longer registered; it is forgotten some time after its connection ended. */
     synchronized void removeRouter(String removedId) {
-        RouterEntry removed = routerById.remove(removedId);
-        if (removed != null && network != null) {
-            network.updatePeer(new Action.KnowPeer(removedId, removed.host(), 0));
+        routers.markUnregistered(removedId, System.nanoTime());
+    }
+
+    private synchronized void forgetExpiredRouters() {
+        for (RouterEntry expired : routers.removeExpired(connectionByPeer::containsKey, System.nanoTime())) {
+            network.updatePeer(new Action.KnowPeer(expired.routerId(), expired.host(), 0));
         }
     }
 
@@ -150,7 +153,7 @@
         if (network == null || controller == null) {
             return;
         }
-        for (RouterEntry router : routerById.values()) {
+        for (RouterEntry router : routers.all()) {
             boolean isWanted = isController() || router.routerId().equals(controller.routerId());
             network.updatePeer(new Action.KnowPeer(router.routerId(), router.host(), isWanted ? router.port() : 0));
         }
@@ -228,6 +231,7 @@
 
     private void pollPeerEvents() throws InterruptedException {
         peerEvents.poll(MAX_WAIT).ifPresent(this::handle);
+        forgetExpiredRouters();
     }
 
     private synchronized void handle(Event event) {
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/KeyMapDeliveryTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/KeyMapDeliveryTest.java
@@ -172,7 +172,7 @@
             connect(controller, sender, other, receiver);
             sender.publish(mapOfVersion(2));
             assertThat(nextMap(atOther)).isEqualTo(mapOfVersion(2));
-            sender.removeRouter("r2");
+            sender.addRouter(new RouterEntry("r2", "127.0.0.1", FollowingRouters.CLOSED_PORT, 8, 1));
             awaitLines("peer-lost peer=r1", "peer-lost peer=r2");
             sender.publish(mapOfVersion(3));
 
