--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/Connector.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/Connector.java
@@ -4,17 +4,13 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.ConnectException;
 import org.daisyscale.router.internal.request.ByteBudget;
 import org.daisyscale.router.serving.ServingRouterSettings.Address;
 
 /** Opens connections to one address. Not thread-safe; confined to the thread of its event loop. */
 final class Connector {
-    private static final int MAX_LINE_BYTES = 8_192;
-    private static final int MAX_HEADER_BYTES = 65_536;
-    private static final int MAX_CHUNK_BYTES = 65_536;
-
     private final Bootstrap bootstrap;
     private final Address address;
     private final ByteBudget responseBytes;
@@ -40,8 +36,8 @@
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
                                 .addLast(new UnexpectedBytesHandler(connection))
-                                .addLast(new HttpClientCodec(
-                                        MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, false, false))
+                                .addLast(new HttpRequestEncoder())
+                                .addLast(connection.decoder())
                                 .addLast(connection);
                     }
                 })
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -17,16 +18,18 @@
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.daisyscale.core.serving.CarriedCalls;
 import org.daisyscale.router.internal.request.ByteBudget;
 import org.daisyscale.router.serving.AnswerMatch;
 import org.daisyscale.router.serving.WireReply;
 
 /**
  * A persistent connection that carries one call at a time, and each request id once. Responses to other calls are
- * skipped. The connection is closed and never reused when bytes arrive while no call is in flight, when a response that
- * names no request follows an earlier response, when a response or what is skipped before it is too large, when a
- * response ends before the whole request was sent, when it has carried as many calls as it can remember, and on any
- * other failure. Not thread-safe; confined to the thread of its event loop.
+ * skipped. The connection is closed and never reused when bytes arrive while no call is in flight or behind a response,
+ * when a response that names no request follows an earlier response, when a response or what is skipped before it is
+ * too large, when the length of what must be skipped is unknown, when a response ends before the whole request was
+ * sent, when it has carried as many calls as it can remember, and on any other failure. Not thread-safe; confined to
+ * the thread of its event loop.
  */
 final class HttpConnection extends SimpleChannelInboundHandler<HttpObject> {
     /**
@@ -43,19 +46,24 @@
     private static final int MAX_RESPONSE_BYTES = 16 << 20;
     /** Limit of what is received before the response to a call, in bytes: a whole response to an earlier call. */
     private static final int MAX_SKIPPED_BYTES = MAX_RESPONSE_BYTES;
+    /** Limit of the responses that are skipped before the response to a call: one to each earlier call. */
+    private static final int MAX_SKIPPED_RESPONSES = CarriedCalls.MAX_CALLS;
 
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
 
     private final ConnectionOwner owner;
     private final ByteBudget responseBytes;
     private final ResponseHistory history;
+    private final ResponseDecoder decoder = new ResponseDecoder(this);
     private ChannelHandlerContext context;
     private HttpCall call;
     private HttpResponse head;
     private ByteArrayOutputStream body;
     private boolean isSkippingResponse;
     private long skippedBytes;
+    private int skippedResponses;
     private boolean hasSeenResponse;
+    private boolean hasCarriedHeadCall;
     private ByteBudget.Reservation reservation;
     private boolean isRequestWritten;
     private boolean isBroken;
@@ -74,14 +82,24 @@
         idleSinceNanos = System.nanoTime();
     }
 
+    /** Returns the decoder in front of this handler. */
+    ResponseDecoder decoder() {
+        return decoder;
+    }
+
     boolean isUsable() {
         long idleMillis = (System.nanoTime() - idleSinceNanos) / 1_000_000L;
         return context.channel().isActive() && !isBroken && idleMillis < keepAliveMillis;
     }
 
-    /** Returns whether no response to an earlier call on this connection can be taken for that to {@code next}. */
+    /**
+     * Returns whether no response to an earlier call on this connection can be taken for that to {@code next}. If the
+     * response to {@code next} bears no request id, no earlier response may have been received at all.
+     */
     boolean mayCarry(HttpCall next) {
-        return history.mayCarry(next);
+        boolean isUnnamed =
+                next.responseName().filter(HttpCall.NO_REQUEST_ID::equals).isPresent();
+        return history.mayCarry(next) && !(isUnnamed && hasSeenResponse);
     }
 
     void close() {
@@ -93,6 +111,7 @@
         call = newCall;
         head = null;
         skippedBytes = 0;
+        skippedResponses = 0;
         isRequestWritten = false;
         call.markWritten(context.channel());
         history.recordSent(call);
@@ -108,6 +127,9 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext unused, HttpObject message) {
+        if (isBroken) {
+            return;
+        }
         if (message.decoderResult().isFailure()) {
             fail(
                     HttpCall.Failure.SPOILED,
@@ -123,26 +145,45 @@
     }
 
     private void handleHead(HttpResponse response) {
-        if (call == null) {
-            history.reportExtra(response, id(), null);
-            fail(HttpCall.Failure.SPOILED, "response received while no call is in flight");
-            return;
-        }
         AnswerMatch match = call.match(response.headers());
-        isSkippingResponse =
-                response.status().codeClass() == HttpStatusClass.INFORMATIONAL || match == AnswerMatch.ANOTHER_REQUEST;
+        boolean isInformational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        isSkippingResponse = isInformational || match == AnswerMatch.ANOTHER_REQUEST;
         if (match == AnswerMatch.ANOTHER_REQUEST) {
             history.reportExtra(response, id(), call);
         }
-        if (!isSkippingResponse && match == AnswerMatch.UNNAMED && hasSeenResponse) {
+        if (isSkippingResponse) {
+            skipResponse(isInformational);
+        } else if (match == AnswerMatch.UNNAMED && hasSeenResponse) {
             history.reportExtra(response, id(), call);
             fail(HttpCall.Failure.SPOILED, "response names no request and may duplicate an earlier response");
-        } else if (!isSkippingResponse) {
+        } else {
             head = response;
             call.recordReceived(0);
             body = new ByteArrayOutputStream();
         }
-        hasSeenResponse = true;
+        hasSeenResponse |= !isInformational;
+    }
+
+    private void skipResponse(boolean isInformational) {
+        skippedResponses++;
+        if (skippedResponses > MAX_SKIPPED_RESPONSES) {
+            fail(
+                    HttpCall.Failure.SPOILED,
+                    "more than %d other responses precede the response".formatted(MAX_SKIPPED_RESPONSES));
+        } else if (hasCarriedHeadCall && !isInformational) {
+            fail(HttpCall.Failure.SPOILED, "a response to an earlier call may have no body in spite of its length");
+        }
+    }
+
+    /** Returns whether {@code response}, which arrives now, has no body whatever length it states. */
+    boolean hasNoBody(HttpResponse response) {
+        return call != null
+                && (isMethod(call, HttpMethod.HEAD) || isMethod(call, HttpMethod.CONNECT))
+                && call.match(response.headers()) != AnswerMatch.ANOTHER_REQUEST;
+    }
+
+    private static boolean isMethod(HttpCall call, HttpMethod method) {
+        return call.request().method().equals(method);
     }
 
     /** Returns whether no call is in flight, so that bytes received now belong to none. */
@@ -174,10 +215,7 @@
     }
 
     private void handleContent(HttpContent content) {
-        if (isBroken || call == null) {
-            return;
-        }
-        if (!isSkippingResponse) {
+        if (!isSkippingResponse && !isBroken) {
             appendToBody(content);
         }
         if (content instanceof LastHttpContent && !isBroken) {
@@ -232,9 +270,15 @@
         call = null;
         head = null;
         idleSinceNanos = System.nanoTime();
+        hasCarriedHeadCall |= isMethod(finished, HttpMethod.HEAD);
         history.recordAnswered(finished, idleSinceNanos);
-        if (HttpUtil.isKeepAlive(answer)
+        ByteBuf bytesBehind = decoder.undecodedBytes();
+        if (bytesBehind.isReadable()) {
+            history.reportUnexpected(bytesBehind, id());
+            close();
+        } else if (HttpUtil.isKeepAlive(answer)
                 && isRequestWritten
+                && !isMethod(finished, HttpMethod.CONNECT)
                 && !history.isFull()
                 && context.channel().isActive()) {
             keepAliveMillis = keepAliveMillis(answer);
