--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ServingMetricsTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ServingMetricsTest.java
@@ -86,6 +86,7 @@
         metrics.attemptEnded("ANSWERED");
         metrics.ringFull("decisions");
         metrics.keyCallEnded("granted");
+        metrics.extraResponse(ExtraResponse.Kind.COPY);
         metrics.controllerUpdate("op/", UpdateResult.APPLIED);
         metrics.storeRead("op/", "list");
         metrics.registerViewAge("op/", () -> 40);
