--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/AttemptSender.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/AttemptSender.java
@@ -52,6 +52,7 @@
                 dialect::match,
                 end -> handleEnd(exchange, action.attempt(), end));
         call.identifyBy(dialect::requestId);
+        call.addressTo(server.id());
         long maxUnsentMillis = Math.min(MAX_UNSENT_MILLIS, action.timeLeftMillis());
         call.expireUnsentAt(System.nanoTime() + maxUnsentMillis * 1_000_000L);
         exchange.startAttempt(server.id(), call);
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ExtraResponse.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ExtraResponse.java
@@ -8,6 +8,8 @@
  * @param kind what was received
  * @param requestId the id of the request that the response names; empty for none
  * @param status the status code; 0 if the bytes are not a response
+ * @param serverId the id of the backend server that the latest call on the connection was for; {@link #UNKNOWN_SERVER}
+ *     if no call named one
  * @param server the address of the server that sent it
  * @param connectionId the id of the connection, unique in this process
  * @param millisSinceFirst the time since the first response to that request on this connection, in milliseconds;
@@ -19,11 +21,13 @@
         Kind kind,
         String requestId,
         int status,
+        String serverId,
         Address server,
         String connectionId,
         long millisSinceFirst,
         String inFlight) {
     static final long NO_FIRST = -1;
+    static final String UNKNOWN_SERVER = "unknown";
     static final String NOTHING_IN_FLIGHT = "none";
 
     /** What an extra response is. */
@@ -51,11 +55,12 @@
 
     /** Returns the circumstances as a log line has them. */
     String describe() {
-        return "kind=%s requestId=%s status=%d server=%s:%d connection=%s millisSinceFirst=%d inFlight=%s"
+        return "kind=%s requestId=%s status=%d serverId=%s server=%s:%d connection=%s millisSinceFirst=%d inFlight=%s"
                 .formatted(
                         kind.label(),
                         requestId,
                         status,
+                        serverId,
                         server.host(),
                         server.port(),
                         connectionId,
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpCall.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpCall.java
@@ -36,6 +36,7 @@
     private boolean isOver;
     private boolean wasWritten;
     private Optional<Function<HttpHeaders, Optional<String>>> requestIds = Optional.empty();
+    private Optional<String> serverId = Optional.empty();
     private boolean hasSendLimit;
     private long sendBeforeNanos;
     private long checkDueNanos;
@@ -100,6 +101,16 @@
         requestIds = Optional.of(newRequestIds);
     }
 
+    /** Records that the call is for the backend server {@code newServerId}. Must be called before it is started. */
+    void addressTo(String newServerId) {
+        serverId = Optional.of(newServerId);
+    }
+
+    /** Returns the id of the backend server that the call is for; empty if it is for none, or not known. */
+    Optional<String> serverId() {
+        return serverId;
+    }
+
     /** Returns the function of {@link #identifyBy}; empty if copies of earlier responses are not expected. */
     Optional<Function<HttpHeaders, Optional<String>>> requestIds() {
         return requestIds;
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ResponseHistory.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ResponseHistory.java
@@ -19,6 +19,7 @@
     private final ExtraResponseListener listener;
     private final CarriedCalls carriedCalls = new CarriedCalls();
     private Optional<Function<HttpHeaders, Optional<String>>> requestIds = Optional.empty();
+    private String serverId = ExtraResponse.UNKNOWN_SERVER;
 
     ResponseHistory(Address server, ExtraResponseListener listener) {
         this.server = server;
@@ -36,7 +37,8 @@
     }
 
     void recordSent(HttpCall call) {
-        requestIds = call.requestIds();
+        requestIds = call.requestIds().or(() -> requestIds);
+        serverId = call.serverId().orElse(serverId);
         call.responseName().ifPresent(carriedCalls::recordSent);
     }
 
@@ -53,7 +55,14 @@
                 : firstNanos.isPresent() ? Kind.COPY : Kind.FOREIGN;
         long millisSinceFirst = kind == Kind.COPY ? millisSince(firstNanos.getAsLong()) : ExtraResponse.NO_FIRST;
         listener.onExtraResponse(new ExtraResponse(
-                kind, requestId, head.status().code(), server, connectionId, millisSinceFirst, describe(inFlight)));
+                kind,
+                requestId,
+                head.status().code(),
+                serverId,
+                server,
+                connectionId,
+                millisSinceFirst,
+                describe(inFlight)));
     }
 
     /** Reports {@code bytes} that were received while the connection was idle; they are neither kept nor released. */
@@ -65,6 +74,7 @@
                                 Kind.NOT_A_RESPONSE,
                                 HttpCall.NO_REQUEST_ID,
                                 0,
+                                serverId,
                                 server,
                                 connectionId,
                                 ExtraResponse.NO_FIRST,
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ExtraResponsesTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ExtraResponsesTest.java
@@ -26,6 +26,7 @@
 
     private final BlockingQueue<ExtraResponse> extras = new ArrayBlockingQueue<>(4);
     private final HttpLoop loop = HttpLoop.start("test-calls", extras::add);
+    private final NamedAnswersDialect dialect = new NamedAnswersDialect();
     private ServerSocket listener;
 
     @BeforeEach
@@ -40,18 +41,28 @@
         loop.close();
     }
 
-    private BlockingQueue<HttpCall.End> call(String id) {
-        BlockingQueue<HttpCall.End> ends = new ArrayBlockingQueue<>(1);
+    private HttpCall newCall(String id, BlockingQueue<HttpCall.End> ends) {
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
         request.headers().set("Id", id);
-        NamedAnswersDialect dialect = new NamedAnswersDialect();
         Address address = new Address("127.0.0.1", listener.getLocalPort());
-        HttpCall call = new HttpCall(address, request, 2_000, dialect::match, ends::add);
+        return new HttpCall(address, request, 2_000, dialect::match, ends::add);
+    }
+
+    private BlockingQueue<HttpCall.End> call(String id) {
+        BlockingQueue<HttpCall.End> ends = new ArrayBlockingQueue<>(1);
+        HttpCall call = newCall(id, ends);
         call.identifyBy(dialect::requestId);
+        call.addressTo("s1");
         loop.start(call);
         return ends;
     }
 
+    private BlockingQueue<HttpCall.End> callThatExpectsNoCopies(String id) {
+        BlockingQueue<HttpCall.End> ends = new ArrayBlockingQueue<>(1);
+        loop.start(newCall(id, ends));
+        return ends;
+    }
+
     private static void readRequest(Socket socket) throws IOException {
         StringBuilder head = new StringBuilder();
         while (!head.toString().endsWith("\r\n\r\n")) {
@@ -87,6 +98,7 @@
             assertThat(extra.kind()).isEqualTo(Kind.COPY);
             assertThat(extra.requestId()).isEqualTo("a");
             assertThat(extra.status()).isEqualTo(421);
+            assertThat(extra.serverId()).isEqualTo("s1");
             assertThat(extra.server().port()).isEqualTo(listener.getLocalPort());
             assertThat(extra.millisSinceFirst()).isBetween(50L, 5_000L);
             assertThat(extra.inFlight()).isEqualTo(ExtraResponse.NOTHING_IN_FLIGHT);
@@ -147,4 +159,56 @@
             assertThat(extra().kind()).isEqualTo(Kind.NOT_A_RESPONSE);
         }
     }
+
+    @Test
+    void shouldReportBytesBehindAResponseThatAreNoResponse() throws Exception {
+        assertReportedBehindAResponse(Kind.NOT_A_RESPONSE, "\0\1\2 no response\r\n\r\n");
+    }
+
+    @Test
+    void shouldReportBytesBehindAResponseThatEndWithinALine() throws Exception {
+        assertReportedBehindAResponse(Kind.NOT_A_RESPONSE, "HTTP/1.1 2");
+    }
+
+    @Test
+    void shouldReportACopyBehindTheLastResponseOfAConnection() throws Exception {
+        BlockingQueue<HttpCall.End> ends = call("a");
+        try (Socket socket = listener.accept()) {
+            readRequest(socket);
+            String last = "HTTP/1.1 200 OK\r\nId: a\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+            write(socket, last.repeat(2));
+
+            assertThat(ends.poll(5, TimeUnit.SECONDS).isAnswered()).isTrue();
+            assertThat(extra().kind()).isEqualTo(Kind.COPY);
+        }
+    }
+
+    private void assertReportedBehindAResponse(Kind kind, String bytes) throws Exception {
+        BlockingQueue<HttpCall.End> ends = call("a");
+        try (Socket socket = listener.accept()) {
+            readRequest(socket);
+            write(socket, REFUSAL.formatted("a") + bytes);
+
+            assertThat(ends.poll(5, TimeUnit.SECONDS).isAnswered()).isTrue();
+            ExtraResponse extra = extra();
+            assertThat(extra).as("what followed the response").isNotNull();
+            assertThat(extra.kind()).isEqualTo(kind);
+            assertThat(extras).isEmpty();
+        }
+    }
+
+    @Test
+    void shouldReportACopyWithItsRequestIdAfterACallThatExpectsNoCopies() throws Exception {
+        try (Socket socket = refusedOnNewConnection("a")) {
+            BlockingQueue<HttpCall.End> ends = callThatExpectsNoCopies("health");
+            readRequest(socket);
+            write(socket, REFUSAL.formatted("health"));
+            assertThat(ends.poll(5, TimeUnit.SECONDS).isAnswered()).isTrue();
+            write(socket, REFUSAL.formatted("a"));
+
+            ExtraResponse extra = extra();
+            assertThat(extra.kind()).isEqualTo(Kind.COPY);
+            assertThat(extra.requestId()).isEqualTo("a");
+        }
+    }
 }
