--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
@@ -46,6 +46,8 @@
     private static final int MAX_RESPONSE_BYTES = 16 << 20;
     /** Limit of what is received before the response to a call, in bytes: a whole response to an earlier call. */
     private static final int MAX_SKIPPED_BYTES = MAX_RESPONSE_BYTES;
+    /** Limit of what is received for one call, in bytes: chunk extensions and trailers are in no body. */
+    private static final int MAX_RECEIVED_BYTES = 4 * MAX_RESPONSE_BYTES;
     /** Limit of the responses that are skipped before the response to a call: one to each earlier call. */
     private static final int MAX_SKIPPED_RESPONSES = CarriedCalls.MAX_CALLS;
 
@@ -61,6 +63,7 @@
     private ByteArrayOutputStream body;
     private boolean isSkippingResponse;
     private long skippedBytes;
+    private long receivedBytes;
     private int skippedResponses;
     private boolean hasSeenResponse;
     private boolean hasCarriedHeadCall;
@@ -111,6 +114,7 @@
         call = newCall;
         head = null;
         skippedBytes = 0;
+        receivedBytes = 0;
         skippedResponses = 0;
         isRequestWritten = false;
         call.markWritten(context.channel());
@@ -201,17 +205,23 @@
         fail(HttpCall.Failure.SPOILED, "bytes received while no call is in flight");
     }
 
-    /** Counts {@code bytes} that arrive now; returns whether too many precede the response to the call in flight. */
-    boolean isSkippingTooMuch(int bytes) {
+    /**
+     * Counts {@code bytes} that arrive now; returns whether too many precede the response to the call in flight, or
+     * belong to it.
+     */
+    boolean isReceivingTooMuch(int bytes) {
+        receivedBytes += bytes;
         if (head == null) {
             skippedBytes += bytes;
         }
-        return skippedBytes > MAX_SKIPPED_BYTES;
+        return skippedBytes > MAX_SKIPPED_BYTES || receivedBytes > MAX_RECEIVED_BYTES;
     }
 
-    /** Closes the connection after too many bytes arrived before the response to the call in flight. */
-    void closeOnTooManySkippedBytes() {
-        fail(HttpCall.Failure.SPOILED, "more than %d bytes precede the response".formatted(MAX_SKIPPED_BYTES));
+    /** Closes the connection after too many bytes arrived for the call in flight. */
+    void closeOnTooManyBytes() {
+        String detail = "more than %d bytes precede the response, or more than %d bytes were received with it"
+                .formatted(MAX_SKIPPED_BYTES, MAX_RECEIVED_BYTES);
+        fail(HttpCall.Failure.SPOILED, detail);
     }
 
     private void handleContent(HttpContent content) {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/UnexpectedBytesHandler.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/UnexpectedBytesHandler.java
@@ -5,8 +5,8 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 
 /**
- * Closes a connection on which bytes arrive while no call is in flight, or too many before the response to the call in
- * flight. It closes it before they are decoded: they may never end. Confined to the thread of its event loop.
+ * Closes a connection on which bytes arrive while no call is in flight, or too many for the call in flight, before they
+ * are decoded: they may never end. Confined to the thread of its event loop.
  */
 final class UnexpectedBytesHandler extends ChannelInboundHandlerAdapter {
     private final HttpConnection connection;
@@ -21,9 +21,9 @@
         if (connection.isIdle()) {
             connection.closeOnUnexpectedBytes(bytes);
             bytes.release();
-        } else if (connection.isSkippingTooMuch(bytes.readableBytes())) {
+        } else if (connection.isReceivingTooMuch(bytes.readableBytes())) {
             bytes.release();
-            connection.closeOnTooManySkippedBytes();
+            connection.closeOnTooManyBytes();
         } else {
             context.fireChannelRead(message);
         }
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/EndlessResponseTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/EndlessResponseTest.java
@@ -102,12 +102,17 @@
         "the body of a response to another call, HTTP/1.1 200 OK|Id: b||, 0123456789abcdef",
         "another protocol, HTTP/1.1 101 Switching Protocols|Connection: upgrade|Upgrade: x||, 0123456789abcdef",
         "empty lines before a response, '', |",
+        "chunk extensions, HTTP/1.1 200 OK|Id: a|Transfer-Encoding: chunked||, 1;name=LONG|x|",
+        "chunk extensions of another response, HTTP/1.1 200 OK|Id: b|Transfer-Encoding: chunked||, 1;a=LONG|x|",
     })
     void shouldEndACallAtOnceWhenItsServerSendsEndless(String form, String begin, String text) throws Exception {
         BlockingQueue<End> ends = call();
         try (Socket socket = listener.accept()) {
             readRequest(socket);
-            Thread writer = startWriting(socket, begin.replace("|", "\r\n"), text.replace("|", "\r\n"));
+            Thread writer = startWriting(
+                    socket,
+                    begin.replace("|", "\r\n"),
+                    text.replace("LONG", "0".repeat(4_000)).replace("|", "\r\n"));
 
             End end = ends.poll(AT_ONCE_SECONDS, TimeUnit.SECONDS);
 
