--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/backend/OutcomeClassifier.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/backend/OutcomeClassifier.java
@@ -8,8 +8,8 @@
 import ratpack.http.client.HttpClientReadTimeoutException;
 
 /**
- * Derives an order's outcome from the result of its HTTP call. An order without an answer counts as not run only
- * if that is certain; otherwise it may have run. Stateless.
+ * Derives an order's outcome from the result of its HTTP call. An order counts as not run only if that is certain: it
+ * was not sent, or a refusal names it. Otherwise it may have run. Stateless.
  */
 final class OutcomeClassifier {
     private static final String NOT_RUN_HEADER = "Daisyscale-Not-Run";
@@ -46,7 +46,11 @@
             return BackendOutcome.WRONG_ANSWER;
         }
         String notRun = headers.get(NOT_RUN_HEADER);
-        return notRun == null ? BackendOutcome.ANSWERED : ofNotRun(notRun);
+        if (notRun == null) {
+            return BackendOutcome.ANSWERED;
+        }
+        // A refusal that names no order may be the copy of a refusal of an earlier order.
+        return echoedOrderId == null ? BackendOutcome.WRONG_ANSWER : ofNotRun(notRun);
     }
 
     private static BackendOutcome ofNotRun(String value) {
