--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/backend/ControlCalls.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/backend/ControlCalls.java
@@ -125,6 +125,10 @@
             return new Event.GrantUnanswered(grant.server(), grant.mapVersion());
         }
         GrantAnswer answer = Json.read(response.getBody().getBytes(), GrantAnswer.class);
+        // A server that accepted this grant has seen its map version, so this answers an earlier grant.
+        if (answer.isAccepted() && answer.mapVersion() < grant.mapVersion()) {
+            return new Event.GrantUnanswered(grant.server(), grant.mapVersion());
+        }
         return new Event.GrantAnswered(grant.server(), grant.mapVersion(), answer.isAccepted(), answer.mapVersion());
     }
 
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/backend/ControlCallsTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/backend/ControlCallsTest.java
@@ -85,6 +85,17 @@
         }
     }
 
+    @Test
+    void shouldNotTakeTheAcceptanceOfAnEarlierGrantForTheAnswerToALaterOne() throws Exception {
+        try (RawBackend backend = new RawBackend(orderId -> json(200, "{\"isAccepted\":true,\"mapVersion\":3}"))) {
+            calls.grant(grantTo(backend.port(), System.nanoTime() + FAR_AHEAD_NANOS));
+
+            Event event = nextEvent();
+
+            assertThat(event).isEqualTo(new Event.GrantUnanswered("server-1", 4));
+        }
+    }
+
     @Test
     void shouldNotSendAGrantWhoseTimeToSendHasPassed() throws Exception {
         try (RawBackend backend = new RawBackend(orderId -> json(200, "{\"isAccepted\":true,\"mapVersion\":4}"))) {
