--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ResponseOrder.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ResponseOrder.java
@@ -6,13 +6,15 @@
 import java.util.Deque;
 
 /**
- * Sends the responses of one connection in the order in which its requests arrived. Not thread-safe; confined to the
- * event loop of the connection.
+ * Sends the responses of one connection in the order in which its requests arrived. Invariant: no request that was
+ * passed on to the decisions stands behind the response that closes the connection, since its caller would take it as
+ * not read, and so as not run. Not thread-safe; confined to the event loop of the connection.
  */
 final class ResponseOrder {
     private static final AttributeKey<ResponseOrder> KEY = AttributeKey.valueOf("daisyscale.answerOrder");
 
     private final Deque<PendingResponse> pendingResponses = new ArrayDeque<>();
+    private boolean isClosing;
 
     private ResponseOrder() {}
 
@@ -39,7 +41,7 @@
 
     private void sendFirstIfReady() {
         PendingResponse first = pendingResponses.peekFirst();
-        if (first != null && first.send != null && !first.isSending) {
+        if (first != null && first.send != null && !first.isSending && !isClosing) {
             first.isSending = true;
             first.send.run();
         }
@@ -49,6 +51,7 @@
     final class PendingResponse {
         private Runnable send;
         private boolean isSending;
+        private boolean isPassedOn;
 
         private PendingResponse() {}
 
@@ -58,6 +61,24 @@
             sendFirstIfReady();
         }
 
+        /**
+         * Records that the request is passed on to the decisions; returns false if it must not be, because an earlier
+         * response closes the connection.
+         */
+        boolean tryPassOn() {
+            isPassedOn = !isClosing;
+            return isPassedOn;
+        }
+
+        /**
+         * Makes this response, which is being sent, the last one of its connection; returns false if it can't be,
+         * because a request behind it was passed on.
+         */
+        boolean tryClose() {
+            isClosing = pendingResponses.stream().noneMatch(pending -> pending != this && pending.isPassedOn);
+            return isClosing;
+        }
+
         /** Records that the response was sent, and sends the next one. */
         void complete() {
             pendingResponses.remove(this);
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingHandler.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingHandler.java
@@ -93,22 +93,23 @@
                 .flatMap(body -> {
                     reservation.grow(Math.max(
                             0, body.length - Math.max(0, context.getRequest().getContentLength())));
-                    return decide(context.getRequest(), requestId, body, channel);
+                    return decide(context.getRequest(), requestId, body, channel, response);
                 })
                 .flatMap(outcome -> awaitTurn(response, outcome))
-                .then(outcome -> write(context, outcome));
+                .then(outcome -> write(context, response, outcome));
     }
 
-    private Promise<Exchange.Outcome> decide(Request request, long requestId, byte[] body, Channel channel) {
+    private Promise<Exchange.Outcome> decide(
+            Request request, long requestId, byte[] body, Channel channel, ResponseOrder.PendingResponse response) {
         LoopLag lag = lags.of(channel.eventLoop());
         long arrivedNanos = System.nanoTime() - lag.lagNanos();
         if (lag.recentLagNanos() < LARGE_LAG_MILLIS * 1_000_000L) {
-            return decide(request, requestId, body, channel, arrivedNanos);
+            return decide(request, requestId, body, channel, response, arrivedNanos);
         }
         return Promise.<Boolean>async(downstream -> scheduleNextTurn(
                         channel, () -> scheduleNextTurn(channel, () -> downstream.success(channel.isActive()))))
                 .flatMap(isActive -> isActive
-                        ? decide(request, requestId, body, channel, arrivedNanos)
+                        ? decide(request, requestId, body, channel, response, arrivedNanos)
                         : Promise.value(rejected(requestId, CoreErrorCode.OVERLOADED, "the caller has left")));
     }
 
@@ -118,8 +119,13 @@
     }
 
     private Promise<Exchange.Outcome> decide(
-            Request request, long requestId, byte[] body, Channel channel, long arrivedNanos) {
-        if (connections.isRejecting()) {
+            Request request,
+            long requestId,
+            byte[] body,
+            Channel channel,
+            ResponseOrder.PendingResponse response,
+            long arrivedNanos) {
+        if (connections.isRejecting() || !response.tryPassOn()) {
             return Promise.value(rejectedAsStopping(requestId));
         }
         ChannelFutureListener onClosed = closed -> handleCallerLeft(requestId);
@@ -172,7 +178,7 @@
     }
 
     private void respond(Context context, ResponseOrder.PendingResponse response, Exchange.Outcome outcome) {
-        awaitTurn(response, outcome).then(ready -> write(context, ready));
+        awaitTurn(response, outcome).then(ready -> write(context, response, ready));
     }
 
     private static Promise<Exchange.Outcome> awaitTurn(
@@ -180,8 +186,8 @@
         return Promise.async(downstream -> response.sendInOrder(() -> downstream.success(outcome)));
     }
 
-    private void write(Context context, Exchange.Outcome outcome) {
-        if (connections.isClosing()) {
+    private void write(Context context, ResponseOrder.PendingResponse response, Exchange.Outcome outcome) {
+        if (connections.isClosing() && response.tryClose()) {
             context.getResponse().forceCloseConnection();
         }
         if (outcome instanceof Exchange.Outcome.Answered answered) {
