--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/StoreClient.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/StoreClient.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import org.daisyscale.core.platform.CoordinationStore;
 import org.daisyscale.core.platform.WriteOutcome;
@@ -25,7 +26,10 @@
 import org.daisyscale.router.serving.WireReply;
 
 /**
- * The client of the platform's store. Calls block. Thread-safe, but must not be called by the thread of the event loop.
+ * The client of the platform's store. Calls block. Responses bear nothing that names their call, so a write counts as
+ * accepted only at a revision above all that this client knew before it sent the write.
+ *
+ * <p>Thread-safe, but must not be called by the thread of the event loop.
  */
 public final class StoreClient implements CoordinationStore {
     /**
@@ -56,6 +60,8 @@
     private final Address address;
     private final StoreDialect dialect;
     private final long listingTimeoutMillis;
+    /** The highest revision of an item that was read one by one, or of an accepted write. */
+    private final AtomicLong knownRevision = new AtomicLong();
 
     /** Creates a client of the store at {@code address} that makes its calls on {@code loop}. */
     public StoreClient(HttpLoop loop, Address address, StoreDialect dialect) {
@@ -72,7 +78,9 @@
 
     @Override
     public Optional<Item> get(String key) {
-        return dialect.readItem(call(dialect.get(key)));
+        Optional<Item> item = dialect.readItem(call(dialect.get(key)));
+        item.ifPresent(found -> recordRevision(found.revision()));
+        return item;
     }
 
     @Override
@@ -112,12 +120,26 @@
 
     @Override
     public WriteResult write(Change change) {
+        long knownBefore = knownRevision.get();
         HttpCall.End end = end(dialect.write(change));
         if (!end.isAnswered()) {
             boolean isUnknown = end.failure() == HttpCall.Failure.LOST || end.failure() == HttpCall.Failure.SPOILED;
             return new WriteResult(isUnknown ? WriteOutcome.UNKNOWN : WriteOutcome.REFUSED, 0);
         }
-        return dialect.readWriteResult(requireAccepted(end.reply()));
+        WriteResult result = dialect.readWriteResult(requireAccepted(end.reply()));
+        if (result.outcome() == WriteOutcome.ACCEPTED && result.revision() <= knownBefore) {
+            EventLog.warn(
+                    "store-write-unproved",
+                    "key=%s revision=%d: the response belongs to an earlier call, since revision %d was known before"
+                            .formatted(change.key(), result.revision(), knownBefore));
+            return new WriteResult(WriteOutcome.UNKNOWN, 0);
+        }
+        recordRevision(result.revision());
+        return result;
+    }
+
+    private void recordRevision(long revision) {
+        knownRevision.accumulateAndGet(revision, Math::max);
     }
 
     @Override
