--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/backend/ControlCalls.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/backend/ControlCalls.java
@@ -125,6 +125,10 @@
             return new Event.GrantUnanswered(grant.server(), grant.mapVersion());
         }
         GrantAnswer answer = Json.read(response.getBody().getBytes(), GrantAnswer.class);
+        if (answer.isAccepted() && answer.mapVersion() != grant.mapVersion()) {
+            // The answer to another grant may be written a second time.
+            return new Event.GrantUnanswered(grant.server(), grant.mapVersion());
+        }
         return new Event.GrantAnswered(grant.server(), grant.mapVersion(), answer.isAccepted(), answer.mapVersion());
     }
 
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/backend/CopiedGrantAnswerTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/backend/CopiedGrantAnswerTest.java
@@ -13,7 +13,6 @@
 import org.daisyscale.router.internal.ring.ArrayRing;
 import org.daisyscale.router.internal.ring.Ring;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class CopiedGrantAnswerTest {
@@ -31,7 +30,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void shouldNotTakeTheAcceptanceOfAnEarlierMapVersionForThatOfTheGrant() throws Exception {
         String answer = "HTTP/1.1 200 x\r\ncontent-type: application/json\r\ncontent-length: %d\r\n\r\n%s"
                 .formatted(ACCEPTED_BEFORE.length(), ACCEPTED_BEFORE);
