--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/backend/ControlCalls.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/backend/ControlCalls.java
@@ -102,6 +102,10 @@
             return new Event.ProbeFailed(probe.server(), sentNanos);
         }
         ServerStatus status = Json.read(response.getBody().getBytes(), ServerStatus.class);
+        // The answer to an earlier grant on the same connection names no incarnation.
+        if (status.incarnation() == null) {
+            return new Event.ProbeFailed(probe.server(), sentNanos);
+        }
         return new Event.ProbeAnswered(probe.server(), sentNanos, receivedNanos, status);
     }
 
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/backend/ControlCallsTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/backend/ControlCallsTest.java
@@ -45,6 +45,15 @@
         }
     }
 
+    @Test
+    void shouldNotTakeTheAnswerToAnEarlierGrantForTheStatusOfAServer() throws Exception {
+        try (RawBackend backend = new RawBackend(orderId -> json(200, "{\"isAccepted\":true,\"mapVersion\":4}"))) {
+            calls.probe(new Action.ProbeServer("server-1", "127.0.0.1", backend.port()));
+
+            assertThat(nextEvent()).isInstanceOf(Event.ProbeFailed.class);
+        }
+    }
+
     @Test
     void shouldFailAProbeOfAnUnresponsiveServerWithinTheTimeout() throws Exception {
         try (RawBackend backend = new RawBackend(orderId -> "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n")) {
