--- a/daisyscale-core/src/test/java/org/daisyscale/core/RouterCoreTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/RouterCoreTest.java
@@ -49,6 +49,66 @@
         assertThat(last(Action.ForwardAnswer.class).requestId()).isEqualTo("r1");
     }
 
+    @Test
+    void shouldReportAnUnknownOutcomeWhenAnOrderIsLostAndAllLaterOnesAreRefused() {
+        runUntilKeysAreOwned();
+        handle(new Event.RequestArrived("r1", lookup("/slots/42")));
+        Action.SendOrder lost = last(Action.SendOrder.class);
+        handle(new Event.OrderEnded("r1", lost.permit().orderId(), BackendOutcome.CONNECTION_LOST, 0));
+        runForMillis(100);
+        Action.SendOrder second = last(Action.SendOrder.class);
+        handle(new Event.OrderEnded("r1", second.permit().orderId(), BackendOutcome.SHED, 0));
+        runForMillis(100);
+        Action.SendOrder third = last(Action.SendOrder.class);
+        handle(new Event.OrderEnded("r1", third.permit().orderId(), BackendOutcome.SHED, 0));
+
+        assertThat(List.of(lost, second, third))
+                .extracting(order -> order.permit().orderId())
+                .doesNotHaveDuplicates();
+        assertThat(last(Action.RefuseRequest.class).code()).isEqualTo(CoreErrorCode.OUTCOME_UNKNOWN);
+    }
+
+    @Test
+    void shouldSendOneOrderForAPermitThatIsDeliveredTwice() {
+        runUntilKeysAreOwned();
+        handle(new Event.RequestArrived("r1", lookup("/slots/42")));
+        Action.SendOrder order = last(Action.SendOrder.class);
+        emitted.clear();
+
+        handle(new Event.PeerMessageReceived("router-1", new PeerMessage.PermitGranted("r1#1", order.permit())));
+        handle(new Event.OrderEnded("r1", order.permit().orderId(), BackendOutcome.ANSWERED, 900));
+
+        assertThat(emitted).noneMatch(Action.SendOrder.class::isInstance);
+        assertThat(last(Action.ForwardAnswer.class).orderId())
+                .isEqualTo(order.permit().orderId());
+    }
+
+    @Test
+    void shouldIgnoreTheRefusalOfAPermitThatComesWhileTheOrderIsInFlight() {
+        runUntilKeysAreOwned();
+        handle(new Event.RequestArrived("r1", lookup("/slots/42")));
+        last(Action.SendOrder.class);
+        emitted.clear();
+
+        String overloaded = CoreErrorCode.OVERLOADED.code();
+        handle(new Event.PeerMessageReceived("router-1", new PeerMessage.PermitRefused("r1#1", overloaded, false)));
+
+        assertThat(emitted).noneMatch(Action.RefuseRequest.class::isInstance);
+    }
+
+    @Test
+    void shouldReportAnUnknownOutcomeWhenAnOrderEndsByItsTimeout() {
+        runUntilKeysAreOwned();
+        handle(new Event.RequestArrived("r1", lookup("/slots/42")));
+        Action.SendOrder order = last(Action.SendOrder.class);
+
+        runForMillis(600);
+        assertThat(emitted).noneMatch(Action.RefuseRequest.class::isInstance);
+        handle(new Event.OrderEnded("r1", order.permit().orderId(), BackendOutcome.TIMED_OUT, 0));
+
+        assertThat(last(Action.RefuseRequest.class).code()).isEqualTo(CoreErrorCode.OUTCOME_UNKNOWN);
+    }
+
     @Test
     void shouldGrantSlicesUntilATimeOnTheServersClock() {
         runUntilKeysAreOwned();
