--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HealthCheckSender.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HealthCheckSender.java
@@ -29,6 +29,7 @@
         FullHttpRequest request = StoreClient.request(dialect.healthCheck(check.healthPath()), address);
         dialect.addHealthCheckHeaders(request.headers(), server.id());
         HttpCall call = new HttpCall(address, request, TIMEOUT_MILLIS, dialect::match, end -> handleEnd(server, end));
+        call.identifyBy(dialect::requestId);
         call.expireUnsentAt(System.nanoTime() + TIMEOUT_MILLIS * 1_000_000L);
         loop.start(call);
     }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HealthProcessCheck.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HealthProcessCheck.java
@@ -29,7 +29,11 @@
                 request,
                 TIMEOUT_MILLIS,
                 dialect::match,
-                end -> onVerdict.accept(end.isAnswered() ? verdict(end.reply()) : Verdict.UNANSWERED));
+                end -> onVerdict.accept(end.isAnswered() ? verdict(end.reply()) : verdict(end.failure())));
+    }
+
+    private static Verdict verdict(HttpCall.Failure failure) {
+        return failure == HttpCall.Failure.CONNECTION_REFUSED ? Verdict.REFUSED : Verdict.UNANSWERED;
     }
 
     private Verdict verdict(WireReply reply) {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpLoop.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpLoop.java
@@ -52,7 +52,6 @@
     private final Bootstrap bootstrap;
     private final ByteBudget responseBytes = new ByteBudget(RESPONSE_BUDGET_BYTES);
     private final Map<Address, ConnectionPool> poolByAddress = new HashMap<>();
-    private final Map<ServerAddress, ConnectionPool> poolByServer = new HashMap<>();
     private final Map<Address, PinnedConnection> pinnedByAddress = new HashMap<>();
 
     private HttpLoop(String threadName, ExtraResponseListener extraResponses) {
@@ -92,20 +91,30 @@
         execute(call, () -> startPooled(call));
     }
 
-    /** Starts {@code call}, which is sent only to a process that passed {@code check}. */
-    void startChecked(HttpCall call, ProcessCheck check) {
+    /**
+     * Starts {@code call} on a connection that carries nothing else, so that its response is no copy of an earlier one.
+     * The call is sent only if the process at its address passed {@code check}, if there is one.
+     */
+    void startAlone(HttpCall call, Optional<ProcessCheck> check) {
         execute(call, () -> {
             call.checkTimeout(loop);
-            if (call.maySend()) {
-                poolByServer
-                        .computeIfAbsent(
-                                new ServerAddress(call.address(), check.serverId()),
-                                server -> new ConnectionPool(connector(server.address()), Optional.of(check)))
-                        .send(call);
+            Connector connector = connector(call.address());
+            if (check.isPresent()) {
+                check.get().run(connector, loop, verdict -> sendAlone(connector, call, verdict));
+            } else {
+                sendAlone(connector, call, ProcessCheck.Verdict.EXPECTED);
             }
         });
     }
 
+    private static void sendAlone(Connector connector, HttpCall call, ProcessCheck.Verdict verdict) {
+        if (verdict != ProcessCheck.Verdict.EXPECTED) {
+            verdict.fail(call);
+        } else if (call.maySend()) {
+            OneCallConnection.send(connector, call);
+        }
+    }
+
     /**
      * Starts {@code call} on the one pinned connection to its address, see {@link PinnedConnection}. {@code pin}
      * identifies what a process receives with the call; if {@code isBound}, the call reaches the process that received
@@ -116,7 +125,7 @@
             call.checkTimeout(loop);
             if (call.maySend()) {
                 pinnedByAddress
-                        .computeIfAbsent(call.address(), address -> new PinnedConnection(connector(address)))
+                        .computeIfAbsent(call.address(), address -> new PinnedConnection(connector(address), loop))
                         .send(call, pin, isBound, check);
             }
         });
@@ -138,8 +147,7 @@
         call.checkTimeout(loop);
         if (call.maySend()) {
             poolByAddress
-                    .computeIfAbsent(
-                            call.address(), address -> new ConnectionPool(connector(address), Optional.empty()))
+                    .computeIfAbsent(call.address(), address -> new ConnectionPool(connector(address)))
                     .send(call);
         }
     }
@@ -156,8 +164,6 @@
     private void sweep() {
         poolByAddress.values().forEach(ConnectionPool::closeStale);
         poolByAddress.values().removeIf(ConnectionPool::isUnused);
-        poolByServer.values().forEach(ConnectionPool::closeStale);
-        poolByServer.values().removeIf(ConnectionPool::isUnused);
         pinnedByAddress.values().forEach(PinnedConnection::closeStale);
         pinnedByAddress.values().removeIf(PinnedConnection::isUnused);
     }
@@ -167,7 +173,4 @@
         group.shutdownGracefully(0, CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                 .awaitUninterruptibly(CLOSE_TIMEOUT_MILLIS);
     }
-
-    /** A server by its id and address. Immutable. */
-    private record ServerAddress(Address address, String serverId) {}
 }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/KeyDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/KeyDuty.java
@@ -135,8 +135,7 @@
             }
         });
         httpCall.expireUnsentAt(release.sendBeforeNanos());
-        processCheck(release.owner(), release.healthPath())
-                .ifPresentOrElse(check -> loop.startChecked(httpCall, check), () -> loop.start(httpCall));
+        loop.startAlone(httpCall, processCheck(release.owner(), release.healthPath()));
     }
 
     private Optional<ProcessCheck> processCheck(Owner owner, String healthPath) {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/PinnedConnection.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/PinnedConnection.java
@@ -13,7 +13,9 @@
  * process that received an earlier one: the connections of a process end with it, and a process that takes over its
  * address gets a new connection.
  *
- * <p>Invariant: a call with a {@link ProcessCheck} is sent only on a connection whose process passed that check.
+ * <p>Invariants: a call with a {@link ProcessCheck} is sent only on a connection that was opened right after the
+ * process at the address passed that check. The first response on the connection belongs to the first call; any later
+ * one may be a copy of an earlier one.
  *
  * <p>Not thread-safe; confined to the thread of its event loop.
  */
@@ -21,15 +23,16 @@
     private static final String NOT_IDENTIFIED = "";
 
     private final Connector connector;
+    private final EventLoop loop;
     private final Deque<PendingCall> pendingCalls = new ArrayDeque<>();
     private final Set<Long> sentPins = new HashSet<>();
     private HttpConnection connection;
     private String identifiedServerId = NOT_IDENTIFIED;
     private boolean isBusy;
-    private boolean isIdentifying;
 
-    PinnedConnection(Connector connector) {
+    PinnedConnection(Connector connector, EventLoop loop) {
         this.connector = connector;
+        this.loop = loop;
     }
 
     /**
@@ -38,7 +41,7 @@
      * another server, the call ends as {@link HttpCall.Failure#OTHER_PROCESS}.
      */
     void send(HttpCall call, long pin, boolean isBound, Optional<ProcessCheck> check) {
-        pendingCalls.add(new PendingCall(call, pin, isBound, check, false));
+        pendingCalls.add(new PendingCall(call, pin, isBound, check));
         sendNext();
     }
 
@@ -59,94 +62,52 @@
         } else if (isOpen && next.isFor(identifiedServerId)) {
             write(next);
         } else if (isOpen && !identifiedServerId.equals(NOT_IDENTIFIED)) {
-            endAtOtherProcess(next);
+            ProcessCheck.Verdict.ANOTHER.fail(next.call());
+        } else if (next.check().isPresent()) {
+            check(next, next.check().get());
         } else {
-            connect(next, next.isIdentified() ? Optional.empty() : next.check());
+            connect(next);
         }
     }
 
-    private void endAtOtherProcess(PendingCall next) {
-        next.call()
-                .end(
-                        HttpCall.Failure.OTHER_PROCESS,
-                        "the address belongs to another server than "
-                                + next.check().map(ProcessCheck::serverId).orElse(""));
-    }
-
     private void write(PendingCall next) {
         isBusy = true;
         sentPins.add(next.pin());
         connection.send(next.call());
     }
 
-    private void connect(PendingCall next, Optional<ProcessCheck> neededCheck) {
+    private void check(PendingCall next, ProcessCheck check) {
+        close();
+        isBusy = true;
+        check.run(connector, loop, verdict -> {
+            if (verdict == ProcessCheck.Verdict.EXPECTED) {
+                connect(next);
+            } else {
+                isBusy = false;
+                verdict.fail(next.call());
+                sendNext();
+            }
+        });
+    }
+
+    private void connect(PendingCall next) {
         close();
         isBusy = true;
         HttpConnection opened = connector.create(this);
         connection = opened;
+        identifiedServerId = next.check().map(ProcessCheck::serverId).orElse(NOT_IDENTIFIED);
         ChannelFuture connected = connector.open(opened);
         connected.channel().closeFuture().addListener(closed -> handleClosed(opened));
         connected.addListener(done -> {
             if (!connected.isSuccess()) {
                 Connector.fail(next.call(), connected.cause());
                 handleClosed(opened);
-            } else if (neededCheck.isPresent()) {
-                identify(opened, next, neededCheck.get(), connected.channel().eventLoop());
-            } else {
-                identifiedServerId = next.check().map(ProcessCheck::serverId).orElse(NOT_IDENTIFIED);
-                writeOrRelease(opened, next);
-            }
-        });
-    }
-
-    private void identify(HttpConnection opened, PendingCall next, ProcessCheck check, EventLoop loop) {
-        isIdentifying = true;
-        HttpCall identification = check.createCall(verdict -> {
-            if (opened == connection) {
-                isIdentifying = false;
-                handleIdentified(opened, next, check, verdict);
-            } else if (verdict == ProcessCheck.Verdict.EXPECTED) {
-                sendOnNewConnection(next);
+            } else if (next.call().maySend()) {
+                write(next);
             } else {
-                next.call().end(HttpCall.Failure.NOT_SENT, "the connection closed before its process was identified");
+                release(opened);
             }
         });
-        identification.checkTimeout(loop);
-        opened.send(identification);
-    }
-
-    private void handleIdentified(
-            HttpConnection opened, PendingCall next, ProcessCheck check, ProcessCheck.Verdict verdict) {
-        if (verdict == ProcessCheck.Verdict.EXPECTED && opened.isUsable()) {
-            identifiedServerId = check.serverId();
-            writeOrRelease(opened, next);
-            return;
-        }
-        close();
-        isBusy = false;
-        if (verdict == ProcessCheck.Verdict.EXPECTED) {
-            sendOnNewConnection(next);
-            return;
-        }
-        if (verdict == ProcessCheck.Verdict.ANOTHER) {
-            endAtOtherProcess(next);
-        } else {
-            next.call().end(HttpCall.Failure.NOT_SENT, "the process at the address did not identify itself");
-        }
-        sendNext();
-    }
-
-    private void sendOnNewConnection(PendingCall next) {
-        pendingCalls.addFirst(next.identified());
-        sendNext();
-    }
-
-    private void writeOrRelease(HttpConnection opened, PendingCall next) {
-        if (next.call().maySend()) {
-            write(next);
-        } else {
-            release(opened);
-        }
     }
 
     private void handleClosed(HttpConnection closed) {
@@ -160,7 +121,6 @@
     private void forgetConnection() {
         connection = null;
         identifiedServerId = NOT_IDENTIFIED;
-        isIdentifying = false;
         sentPins.clear();
     }
 
@@ -174,7 +134,7 @@
 
     @Override
     public void release(HttpConnection released) {
-        if (released == connection && !isIdentifying) {
+        if (released == connection) {
             isBusy = false;
             sendNext();
         }
@@ -192,16 +152,11 @@
     }
 
     boolean isUnused() {
-        return connection == null && pendingCalls.isEmpty();
+        return connection == null && !isBusy && pendingCalls.isEmpty();
     }
 
-    /** A call and whether the process at its address passed its check on a connection that is closed now. */
-    private record PendingCall(
-            HttpCall call, long pin, boolean isBound, Optional<ProcessCheck> check, boolean isIdentified) {
-
-        private PendingCall identified() {
-            return new PendingCall(call, pin, isBound, check, true);
-        }
+    /** A call that waits for the connection. Immutable. */
+    private record PendingCall(HttpCall call, long pin, boolean isBound, Optional<ProcessCheck> check) {
 
         /** Returns whether the call may be sent to the process that was identified as {@code serverId}. */
         private boolean isFor(String serverId) {
