--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/HoldLedger.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/HoldLedger.java
@@ -15,9 +15,9 @@
  * hold it.
  *
  * <p>Invariants: a grant in flight counts as held, and one that was sent counts as held until it has certainly expired.
- * A grant without an answer may take effect late, even after a release of its keys; it can't once the server has
- * accepted a higher fence on one of its keys, because the server then rejects it. Grants of earlier controllers expire
- * at most the longest hold after the start of this controller's term.
+ * A grant without a proven answer may take effect late, even after a release of its keys; it can't once the server has
+ * provably accepted a higher fence on one of its keys, because the server then rejects it. Grants of earlier
+ * controllers expire at most the longest hold after the start of this controller's term.
  *
  * <p>Not thread-safe; confined to the core thread.
  */
@@ -46,10 +46,10 @@
         return arrivedNanos + (long) (holdMillis * CLOCK_DRIFT_FACTOR * 1e6);
     }
 
-    /** Records a grant that is about to be sent. */
-    void recordGrant(long callId, KeyAssignment range, long fence, long holdMillis, long nowNanos) {
+    /** Records a grant of {@code range} to {@code owner} that is about to be sent. */
+    void recordGrant(long callId, Owner owner, KeyAssignment range, long fence, long holdMillis, long nowNanos) {
         Hold hold = new Hold(range.firstKey(), range.lastKey(), fence, holdMillis);
-        List<Hold> holds = holdsByOwner.computeIfAbsent(range.owner(), owner -> new ArrayList<>());
+        List<Hold> holds = holdsByOwner.computeIfAbsent(owner, unused -> new ArrayList<>());
         holds.removeIf(other -> other.isOver(nowNanos));
         holds.add(hold);
         inFlightByCall.put(callId, hold);
@@ -60,21 +60,31 @@
         Hold accepted = inFlightByCall.remove(callId);
         if (accepted != null) {
             goneOwners.remove(owner);
-            accepted.end(expiryNanos(nowNanos, accepted.holdMillis), false);
+            accepted.end(expiryNanos(nowNanos, accepted.holdMillis), Lateness.EXCLUDED);
             holdsByOwner.getOrDefault(owner, List.of()).stream()
                     .filter(other -> other.fence < accepted.fence
                             && other.firstKey <= accepted.lastKey
                             && accepted.firstKey <= other.lastKey)
-                    .forEach(other -> other.mayTakeEffectLate = false);
+                    .forEach(other -> other.lateness = Lateness.EXCLUDED);
         }
     }
 
+    /** Records an acceptance that may be a copy of an earlier one: the server may get the grant later or reject it. */
+    void recordUnproven(long callId, Owner owner, long nowNanos) {
+        goneOwners.remove(owner);
+        endUncertain(callId, Lateness.UNPROVEN, nowNanos);
+    }
+
     /** Records that the grant got no answer although it was sent. */
     void recordUnanswered(long callId, long nowNanos) {
-        Hold unanswered = inFlightByCall.remove(callId);
-        if (unanswered != null) {
+        endUncertain(callId, Lateness.UNANSWERED, nowNanos);
+    }
+
+    private void endUncertain(long callId, Lateness lateness, long nowNanos) {
+        Hold uncertain = inFlightByCall.remove(callId);
+        if (uncertain != null) {
             long arrivedNanos = nowNanos + MAX_TRANSIT_MILLIS * 1_000_000L;
-            unanswered.end(expiryNanos(arrivedNanos, unanswered.holdMillis), true);
+            uncertain.end(expiryNanos(arrivedNanos, uncertain.holdMillis), lateness);
         }
     }
 
@@ -104,7 +114,18 @@
      */
     boolean mayTakeEffectLater(Owner owner, KeyAssignment range, long nowNanos) {
         return holds(owner, range)
-                .anyMatch(hold -> hold.isInFlight || (hold.mayTakeEffectLate && !hold.isOver(nowNanos)));
+                .anyMatch(hold -> hold.isInFlight || (hold.lateness != Lateness.EXCLUDED && !hold.isOver(nowNanos)));
+    }
+
+    /**
+     * Returns whether {@code owner} answers, but without a proof that no grant of a key of {@code range} may still take
+     * effect. A grant under a higher fence with a proven answer is that proof.
+     */
+    boolean lacksOnlyProof(Owner owner, KeyAssignment range, long nowNanos) {
+        return mayTakeEffectLater(owner, range, nowNanos)
+                && holds(owner, range)
+                        .filter(hold -> !hold.isOver(nowNanos))
+                        .noneMatch(hold -> hold.isInFlight || hold.lateness == Lateness.UNANSWERED);
     }
 
     private Stream<Hold> holds(Owner owner, KeyAssignment range) {
@@ -112,6 +133,16 @@
                 .filter(hold -> hold.firstKey <= range.lastKey() && range.firstKey() <= hold.lastKey);
     }
 
+    /** Whether a grant that is not in flight may take effect late. */
+    private enum Lateness {
+        /** It has taken effect or never will. */
+        EXCLUDED,
+        /** It was answered, but the answer may be a copy of an earlier one. */
+        UNPROVEN,
+        /** It was not answered. */
+        UNANSWERED
+    }
+
     /** One grant. */
     private static final class Hold {
         private final int firstKey;
@@ -119,7 +150,7 @@
         private final long fence;
         private final long holdMillis;
         private boolean isInFlight = true;
-        private boolean mayTakeEffectLate;
+        private Lateness lateness = Lateness.EXCLUDED;
         private long expiresNanos;
 
         private Hold(int firstKey, int lastKey, long fence, long holdMillis) {
@@ -129,9 +160,9 @@
             this.holdMillis = holdMillis;
         }
 
-        private void end(long newExpiresNanos, boolean isUncertain) {
+        private void end(long newExpiresNanos, Lateness newLateness) {
             isInFlight = false;
-            mayTakeEffectLate = isUncertain;
+            lateness = newLateness;
             expiresNanos = newExpiresNanos;
         }
 
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LeasedKeyController.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LeasedKeyController.java
@@ -140,7 +140,7 @@
 
     private static boolean handleCallEnd(KeyEvent event, RangeCallCoordinator calls, long nowNanos) {
         if (event instanceof KeyEvent.GrantAccepted accepted) {
-            return calls.onGrantAccepted(accepted.callId(), nowNanos);
+            return calls.onGrantAccepted(accepted.callId(), accepted.isProven(), nowNanos);
         } else if (event instanceof KeyEvent.GrantRejected rejected) {
             calls.onGrantRejected(rejected.callId());
             return true;
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/RangeCallCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/RangeCallCoordinator.java
@@ -135,6 +135,9 @@
             return true;
         }
         if (holds.mayTakeEffectLater(predecessor, assignment, nowNanos)) {
+            if (holds.lacksOnlyProof(predecessor, assignment, nowNanos) && !owners.isLost(predecessor, nowNanos)) {
+                requestProof(assignment, predecessor, state, terms, actions, nowNanos);
+            }
             return false;
         }
         if (state.handoverByPredecessor.containsKey(predecessor)) {
@@ -157,6 +160,39 @@
         return false;
     }
 
+    /**
+     * Grants the range to its predecessor once more under a new fence: a proven answer excludes that an earlier grant
+     * takes effect after the release.
+     */
+    private void requestProof(
+            KeyAssignment assignment,
+            Owner predecessor,
+            RangeState state,
+            CallTerms terms,
+            List<KeyAction> actions,
+            long nowNanos) {
+        if (fences.isEmpty() || nowNanos - state.releaseDueNanos.getOrDefault(predecessor, nowNanos) < 0) {
+            return;
+        }
+        state.releaseDueNanos.put(predecessor, nowNanos + RETRY_MILLIS * 1_000_000L);
+        long callId = callIds.next();
+        long fence = fences.take();
+        callById.put(callId, new PendingCall(assignment, predecessor, false, term));
+        holds.recordGrant(callId, predecessor, assignment, fence, terms.holdMillis(), nowNanos);
+        actions.add(new KeyAction.SendGrant(
+                callId,
+                predecessor,
+                assignment.firstKey(),
+                assignment.lastKey(),
+                fence,
+                false,
+                true,
+                terms.holdMillis(),
+                "",
+                registry.healthPath(service),
+                terms.sendBeforeNanos()));
+    }
+
     private void grant(
             KeyAssignment assignment, CallTerms terms, RangeState state, List<KeyAction> actions, long nowNanos) {
         long holdMillis = terms.holdMillis();
@@ -165,7 +201,7 @@
         state.grantCallId = callIds.next();
         state.grantDueNanos = nowNanos + renewAfterMillis(holdMillis) * 1_000_000L;
         callById.put(state.grantCallId, new PendingCall(assignment, assignment.owner(), true, term));
-        holds.recordGrant(state.grantCallId, assignment, state.fence, holdMillis, nowNanos);
+        holds.recordGrant(state.grantCallId, assignment.owner(), assignment, state.fence, holdMillis, nowNanos);
         String handover = state.isGranted
                 ? ""
                 : state.handoverByPredecessor.values().stream()
@@ -179,6 +215,7 @@
                 assignment.lastKey(),
                 state.fence,
                 isRenewal,
+                false,
                 holdMillis,
                 handover,
                 registry.healthPath(service),
@@ -195,15 +232,27 @@
         stateByRange.values().forEach(state -> state.grantDueNanos = nowNanos);
     }
 
-    /** Records that the server accepted the grant; returns whether it is the first one of its range. */
-    boolean onGrantAccepted(long callId, long nowNanos) {
+    /**
+     * Records that the server accepted the grant; returns whether calls may be due at once, since it is the first one
+     * of its range or the proof for a release. An answer without a proof decides only where requests are sent, which a
+     * server without the keys refuses, and what the server may hold.
+     */
+    boolean onGrantAccepted(long callId, boolean isProven, long nowNanos) {
         PendingCall call = callById.remove(callId);
         if (call == null) {
             return false;
         }
         owners.recordAnswered(call.owner());
-        holds.recordAccepted(callId, call.owner(), nowNanos);
+        if (isProven) {
+            holds.recordAccepted(callId, call.owner(), nowNanos);
+        } else {
+            holds.recordUnproven(callId, call.owner(), nowNanos);
+        }
         Optional<RangeState> state = endCall(call, callId);
+        if (!call.isGrant()) {
+            state.ifPresent(found -> found.releaseDueNanos.remove(call.owner()));
+            return true;
+        }
         boolean isFirst = state.filter(found -> !found.isGranted).isPresent();
         state.ifPresent(found -> found.isGranted = true);
         return isFirst;
@@ -304,7 +353,7 @@
         return state;
     }
 
-    /** A call without an answer yet. Immutable. */
+    /** A call without an answer yet; {@code isGrant} if it gives the range to its owner. Immutable. */
     private record PendingCall(KeyAssignment assignment, Owner owner, boolean isGrant, int term) {}
 
     /** The state of the calls for one range. */
--- a/daisyscale-core/src/main/java/org/daisyscale/core/keys/KeyAction.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/keys/KeyAction.java
@@ -15,6 +15,7 @@
      * @param lastKey the last key, inclusive
      * @param fence the fencing token
      * @param isRenewal whether the call may be sent only to the process that accepted this fence before
+     * @param needsProof whether its response must not be a copy of an earlier one; such a grant is not renewed
      * @param holdMillis the hold of the grant, in milliseconds from its arrival at the server
      * @param handover the handover text of the predecessor's release; empty for none
      * @param healthPath the path of the health check by which the owner's process identifies itself; empty for none
@@ -27,6 +28,7 @@
             int lastKey,
             long fence,
             boolean isRenewal,
+            boolean needsProof,
             long holdMillis,
             String handover,
             String healthPath,
--- a/daisyscale-core/src/main/java/org/daisyscale/core/keys/KeyEvent.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/keys/KeyEvent.java
@@ -36,8 +36,11 @@
     /** A router reported the load of its requests. */
     record LoadReported(KeyLoad load) implements KeyEvent {}
 
-    /** The server accepted the grant of the call. */
-    record GrantAccepted(long callId) implements KeyEvent {}
+    /**
+     * The grant of the call was answered as accepted. Unless {@code isProven}, the response may be a copy of an earlier
+     * one, so that the server may get the grant later or reject it.
+     */
+    record GrantAccepted(long callId, boolean isProven) implements KeyEvent {}
 
     /** The server rejected the grant of the call, since it knows a higher fence. */
     record GrantRejected(long callId) implements KeyEvent {}
--- a/daisyscale-core/src/test/java/org/daisyscale/core/keys/KeyControllerScenario.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/keys/KeyControllerScenario.java
@@ -77,7 +77,7 @@
         KeyMap withFences = actionsOf(KeyAction.WriteMap.class, actions).get(0).map();
         actions = new ArrayList<>(handle(new KeyEvent.MapWritten(withFences, 31)));
         actions.addAll(advance(50));
-        grants(actions).forEach(grant -> handle(new KeyEvent.GrantAccepted(grant.callId())));
+        grants(actions).forEach(grant -> handle(new KeyEvent.GrantAccepted(grant.callId(), true)));
         return withFences;
     }
 
@@ -108,7 +108,7 @@
                     .forEach(grant -> handle(
                             grant.owner().equals(owner("k1"))
                                     ? new KeyEvent.CallUnanswered(grant.callId(), false)
-                                    : new KeyEvent.GrantAccepted(grant.callId())));
+                                    : new KeyEvent.GrantAccepted(grant.callId(), true)));
         }
         return actionsOf(KeyAction.WriteMap.class, actions).get(0).map();
     }
--- a/daisyscale-core/src/test/java/org/daisyscale/core/keys/KeyControllerTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/keys/KeyControllerTest.java
@@ -264,7 +264,7 @@
                 .orElseThrow()
                 .callId();
 
-        List<KeyAction> afterGrant = handle(new KeyEvent.GrantAccepted(grantId));
+        List<KeyAction> afterGrant = handle(new KeyEvent.GrantAccepted(grantId, true));
 
         assertThat(actionsOf(KeyAction.PublishMap.class, afterGrant))
                 .singleElement()
@@ -280,7 +280,8 @@
         List<KeyAction> beforeDelay = new ArrayList<>();
         actionsOf(KeyAction.SendRelease.class, actions)
                 .forEach(release -> grants(handle(new KeyEvent.Released(release.callId(), "")))
-                        .forEach(grant -> beforeDelay.addAll(handle(new KeyEvent.GrantAccepted(grant.callId())))));
+                        .forEach(
+                                grant -> beforeDelay.addAll(handle(new KeyEvent.GrantAccepted(grant.callId(), true)))));
 
         List<KeyAction> afterDelay = advance(300);
 
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/GrantNetwork.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/GrantNetwork.java
@@ -112,7 +112,7 @@
                 () -> answers.accept(
                         isPartitioned
                                 ? new KeyEvent.CallUnanswered(grant.callId(), true)
-                                : new KeyEvent.GrantAccepted(grant.callId())));
+                                : new KeyEvent.GrantAccepted(grant.callId(), grant.needsProof())));
     }
 
     void send(KeyAction.SendRelease release) {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpCall.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpCall.java
@@ -10,6 +10,7 @@
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.IntPredicate;
 import org.daisyscale.router.serving.AnswerMatch;
 import org.daisyscale.router.serving.ServingRouterSettings.Address;
 import org.daisyscale.router.serving.WireReply;
@@ -35,6 +36,8 @@
     private Channel channel;
     private boolean isOver;
     private boolean wasWritten;
+    private boolean isFirstOnConnection;
+    private IntPredicate keepsConnection = status -> true;
     private Optional<Function<HttpHeaders, Optional<String>>> requestIds = Optional.empty();
     private boolean hasSendLimit;
     private long sendBeforeNanos;
@@ -131,9 +134,26 @@
         return !isOver;
     }
 
-    /** Records that bytes of the request may be sent through {@code newChannel} from now on. */
-    void markWritten(Channel newChannel) {
+    /**
+     * Makes the connection be closed unless the status of the response is in {@code statuses}. Must be called before
+     * the call is started.
+     */
+    void keepConnectionAfter(IntPredicate statuses) {
+        keepsConnection = statuses;
+    }
+
+    /** Returns whether the connection may be kept after a response with {@code status}. */
+    boolean keepsConnection(int status) {
+        return keepsConnection.test(status);
+    }
+
+    /**
+     * Records that bytes of the request may be sent through {@code newChannel} from now on, which carried no earlier
+     * call if {@code isFirst}.
+     */
+    void markWritten(Channel newChannel, boolean isFirst) {
         channel = newChannel;
+        isFirstOnConnection = isFirst;
         wasWritten = true;
     }
 
@@ -150,11 +170,11 @@
     }
 
     void end(WireReply reply) {
-        endOnce(new End(reply, null, ""));
+        endOnce(new End(reply, null, "", isFirstOnConnection));
     }
 
     void end(Failure failure, String detail) {
-        endOnce(new End(null, failure, detail));
+        endOnce(new End(null, failure, detail, false));
     }
 
     private void endOnce(End end) {
@@ -241,8 +261,9 @@
      * @param reply the response; null after a failure
      * @param failure the failure; null after a response
      * @param detail the circumstances of a failure
+     * @param isFirst whether the response is the first one on its connection, so that it is no copy of an earlier one
      */
-    public record End(WireReply reply, Failure failure, String detail) {
+    public record End(WireReply reply, Failure failure, String detail, boolean isFirst) {
 
         /** Returns whether a complete response was received. */
         public boolean isAnswered() {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
@@ -56,6 +56,7 @@
     private boolean isSkippingResponse;
     private long skippedBytes;
     private boolean hasSeenResponse;
+    private boolean hasCarriedCall;
     private ByteBudget.Reservation reservation;
     private boolean isRequestWritten;
     private boolean isBroken;
@@ -94,7 +95,8 @@
         head = null;
         skippedBytes = 0;
         isRequestWritten = false;
-        call.markWritten(context.channel());
+        call.markWritten(context.channel(), !hasCarriedCall);
+        hasCarriedCall = true;
         history.recordSent(call);
         context.writeAndFlush(newCall.request()).addListener(written -> {
             if (call == newCall) {
@@ -235,6 +237,7 @@
         history.recordAnswered(finished, idleSinceNanos);
         if (HttpUtil.isKeepAlive(answer)
                 && isRequestWritten
+                && finished.keepsConnection(answer.status().code())
                 && !history.isFull()
                 && context.channel().isActive()) {
             keepAliveMillis = keepAliveMillis(answer);
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/KeyDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/KeyDuty.java
@@ -89,27 +89,36 @@
     private void send(KeyAction.SendGrant grant) {
         WireCall call =
                 dialect.grant(grant.firstKey(), grant.lastKey(), grant.fence(), grant.holdMillis(), grant.handover());
-        HttpCall httpCall = createCall(grant.owner(), call, GRANT_TIMEOUT_MILLIS, end -> {
-            boolean isTaken = end.isAnswered() && end.reply().status() == HttpStatusCodes.OK;
-            boolean isRefused = end.isAnswered() && dialect.isFenceTooLow(end.reply());
-            metrics.keyCallEnded(isTaken ? "taken" : isRefused ? "fence-too-low" : result(end));
-            if (!isTaken) {
-                logEnd("grant-failed", grant.owner(), grant.firstKey(), grant.lastKey(), grant.fence(), end);
-            }
-            if (isTaken) {
-                putEvent(new KeyEvent.GrantAccepted(grant.callId()));
-            } else if (isRefused) {
-                putEvent(new KeyEvent.GrantRejected(grant.callId()));
-            } else if (end.failure() == HttpCall.Failure.OTHER_PROCESS) {
-                putEvent(new KeyEvent.OwnerGone(grant.callId()));
-            } else if (end.failure() == HttpCall.Failure.UNPROVED) {
-                putEvent(new KeyEvent.RenewalUnverified(grant.callId()));
-            } else {
-                putUnanswered(grant.callId(), end);
-            }
-        });
+        HttpCall httpCall = createCall(grant.owner(), call, GRANT_TIMEOUT_MILLIS, end -> handleEnd(grant, end));
         httpCall.expireUnsentAt(grant.sendBeforeNanos());
-        loop.startPinned(httpCall, grant.fence(), grant.isRenewal(), processCheck(grant.owner(), grant.healthPath()));
+        httpCall.keepConnectionAfter(status -> status == HttpStatusCodes.OK);
+        Optional<ProcessCheck> check = processCheck(grant.owner(), grant.healthPath());
+        if (grant.needsProof()) {
+            loop.startAlone(httpCall, check);
+        } else {
+            loop.startPinned(httpCall, grant.fence(), grant.isRenewal(), check);
+        }
+    }
+
+    /** A rejection that may be a copy counts as no answer, so that the next try has a new connection. */
+    private void handleEnd(KeyAction.SendGrant grant, HttpCall.End end) {
+        boolean isTaken = end.isAnswered() && end.reply().status() == HttpStatusCodes.OK;
+        boolean isRefused = end.isFirst() && dialect.isFenceTooLow(end.reply());
+        metrics.keyCallEnded(isTaken ? "taken" : isRefused ? "fence-too-low" : result(end));
+        if (!isTaken) {
+            logEnd("grant-failed", grant.owner(), grant.firstKey(), grant.lastKey(), grant.fence(), end);
+        }
+        if (isTaken) {
+            putEvent(new KeyEvent.GrantAccepted(grant.callId(), end.isFirst()));
+        } else if (isRefused) {
+            putEvent(new KeyEvent.GrantRejected(grant.callId()));
+        } else if (end.failure() == HttpCall.Failure.OTHER_PROCESS) {
+            putEvent(new KeyEvent.OwnerGone(grant.callId()));
+        } else if (end.failure() == HttpCall.Failure.UNPROVED) {
+            putEvent(new KeyEvent.RenewalUnverified(grant.callId()));
+        } else {
+            putUnanswered(grant.callId(), end);
+        }
     }
 
     private void send(KeyAction.SendRelease release) {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/StoreClient.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/StoreClient.java
@@ -217,13 +217,13 @@
                         return Optional.empty();
                     }
                 }
-                return Optional.of(
-                        new HttpCall.End(null, HttpCall.Failure.LOST, "the call did not end within its timeout"));
+                return Optional.of(new HttpCall.End(
+                        null, HttpCall.Failure.LOST, "the call did not end within its timeout", false));
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
                 loop.cancel(call);
-                return Optional.of(
-                        new HttpCall.End(null, HttpCall.Failure.LOST, "interrupted because the router is stopping"));
+                return Optional.of(new HttpCall.End(
+                        null, HttpCall.Failure.LOST, "interrupted because the router is stopping", false));
             }
         }
     }
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/CopiedControlResponseTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/CopiedControlResponseTest.java
@@ -30,6 +30,7 @@
 class CopiedControlResponseTest {
     private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
     private static final String HEALTHY = "HTTP/1.1 200 OK\r\nServer-Id: s1\r\nContent-Length: 0\r\n\r\n";
+    private static final String CONFLICT = "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n";
     private static final String COLD = "HTTP/1.1 200 OK\r\nCold-Left: %d\r\nContent-Length: 0\r\n\r\n";
 
     private final HttpLoop loop = HttpLoop.start("test-calls");
@@ -122,7 +123,8 @@
 
     private KeyAction.SendGrant grant(long callId, long fence, boolean isRenewal, String healthPath) {
         long sendBeforeNanos = System.nanoTime() + 1_000_000_000L;
-        return new KeyAction.SendGrant(callId, owner(), 0, 9, fence, isRenewal, 2_400, "", healthPath, sendBeforeNanos);
+        return new KeyAction.SendGrant(
+                callId, owner(), 0, 9, fence, isRenewal, false, 2_400, "", healthPath, sendBeforeNanos);
     }
 
     private static String readTarget(Socket socket) throws IOException {
@@ -218,6 +220,28 @@
         }
     }
 
+    @Test
+    void shouldNotTakeACopiedRejectionForTheRejectionOfALaterGrant() throws Exception {
+        run(grant(1, 7, false, ""));
+        try (Socket socket = listener.accept()) {
+            readTarget(socket);
+            write(socket, OK);
+            event(2_000);
+            run(grant(2, 8, false, ""));
+            readTarget(socket);
+            write(socket, CONFLICT);
+
+            assertThat(event(2_000)).isEqualTo(new KeyEvent.CallUnanswered(2, true));
+        }
+        run(grant(3, 9, false, ""));
+        try (Socket fresh = listener.accept()) {
+            readTarget(fresh);
+            write(fresh, CONFLICT);
+
+            assertThat(event(2_000)).isEqualTo(new KeyEvent.GrantRejected(3));
+        }
+    }
+
     @Test
     void shouldNotTakeACopiedHealthResponseForTheResponseToALaterHealthCheck() throws Exception {
         HealthCheckSender sender = new HealthCheckSender(loop, dialect, healthReports::add);
