--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
@@ -66,6 +66,7 @@
     private long receivedBytes;
     private int skippedResponses;
     private boolean hasSeenResponse;
+    private boolean hasCarriedCall;
     private boolean hasCarriedHeadCall;
     private ByteBudget.Reservation reservation;
     private boolean isRequestWritten;
@@ -117,7 +118,8 @@
         receivedBytes = 0;
         skippedResponses = 0;
         isRequestWritten = false;
-        call.markWritten(context.channel());
+        call.markWritten(context.channel(), !hasCarriedCall);
+        hasCarriedCall = true;
         history.recordSent(call);
         context.writeAndFlush(newCall.request()).addListener(written -> {
             if (call == newCall) {
@@ -289,6 +291,7 @@
         } else if (HttpUtil.isKeepAlive(answer)
                 && isRequestWritten
                 && !isMethod(finished, HttpMethod.CONNECT)
+                && finished.keepsConnection(answer.status().code())
                 && !history.isFull()
                 && context.channel().isActive()) {
             keepAliveMillis = keepAliveMillis(answer);
