--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/CopiedResponsesTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/CopiedResponsesTest.java
@@ -95,6 +95,12 @@
         return ends.poll(5, TimeUnit.SECONDS);
     }
 
+    private static void assertNotEndedYet(BlockingQueue<End> ends) throws InterruptedException {
+        assertThat(ends.poll(200, TimeUnit.MILLISECONDS))
+                .as("end of a call that no server has answered")
+                .isNull();
+    }
+
     private static void readRequest(Socket socket) throws IOException {
         StringBuilder head = new StringBuilder();
         while (!head.toString().endsWith("\r\n\r\n")) {
@@ -152,7 +158,7 @@
             BlockingQueue<End> ends = call(HttpMethod.POST, "b", bodyBytes);
             readRequest(socket);
             write(socket, OK.formatted("a"));
-            assertThat(ends.poll(200, TimeUnit.MILLISECONDS)).isNull();
+            assertNotEndedYet(ends);
             socket.getInputStream().readNBytes(bodyBytes);
             write(socket, CREATED.formatted("b"));
 
@@ -198,6 +204,7 @@
             readRequest(socket);
             write(socket, UNNAMED.repeat(2));
             assertThat(end(first).isAnswered()).isTrue();
+            assertNotEndedYet(second);
             try (Socket other = listener.accept()) {
                 readRequest(other);
                 write(other, "HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n");
@@ -214,6 +221,7 @@
             Thread.sleep(100);
             write(socket, UNNAMED);
 
+            assertNotEndedYet(ends);
             try (Socket other = listener.accept()) {
                 readRequest(other);
                 write(other, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
