--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/GrantNetwork.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/GrantNetwork.java
@@ -27,6 +27,7 @@
     private final FenceHistory fences = new FenceHistory();
     private final Set<String> partitionedServers = new HashSet<>();
     private double maxGrantDelayMillis;
+    private boolean hasCopiedAnswers;
 
     GrantNetwork(
             Timeline time,
@@ -55,10 +56,18 @@
         maxGrantDelayMillis = maxMillis;
     }
 
+    /** Lets a copy of an earlier answer pass for the answer to each delayed grant that needs no proof. */
+    void copyAnswers() {
+        hasCopiedAnswers = true;
+    }
+
     void send(KeyAction.SendGrant grant) {
         boolean isDelayed = maxGrantDelayMillis > 0 && random.nextInt(DELAYED_GRANTS_ONE_IN) == 0;
         double delayMillis = isDelayed ? random.nextDouble() * maxGrantDelayMillis : 0;
-        if (delayMillis < GRANT_TIMEOUT_MILLIS) {
+        if (isDelayed && hasCopiedAnswers && !grant.needsProof()) {
+            time.after(NETWORK_DELAY_MILLIS, () -> answers.accept(new KeyEvent.GrantAccepted(grant.callId(), false)));
+            time.after(delayMillis, () -> takeEffectLate(grant, (long) delayMillis));
+        } else if (delayMillis < GRANT_TIMEOUT_MILLIS) {
             time.after(NETWORK_DELAY_MILLIS + delayMillis, () -> deliver(grant));
         } else {
             time.after(GRANT_TIMEOUT_MILLIS, () -> answers.accept(new KeyEvent.CallUnanswered(grant.callId(), true)));
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/OwnershipUnderFaultsTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/OwnershipUnderFaultsTest.java
@@ -69,22 +69,40 @@
     @ParameterizedTest
     @MethodSource("seeds")
     void shouldNeverLetTwoServersHoldAKeyWhenGrantsTakeEffectAfterTheReleaseOfTheirKeys(long seed) {
+        FleetReplay replay = playDelayedGrantsAndDrains(seed, false);
+
+        assertThat(replay.result().doubleOwners()).isZero();
+        assertThat(replay.result().reusedFences()).isZero();
+        assertThat(replay.result().answeredRatio()).isPositive();
+    }
+
+    /** Guards against a copied answer that passes for the proof that a grant has taken effect (issue 46). */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void shouldNeverLetTwoServersHoldAKeyWhenCopiedAnswersPassForThoseToDelayedGrants(long seed) {
+        FleetReplay replay = playDelayedGrantsAndDrains(seed, true);
+
+        assertThat(replay.result().doubleOwners()).isZero();
+        assertThat(replay.result().reusedFences()).isZero();
+        assertThat(replay.result().answeredRatio()).isPositive();
+    }
+
+    private static FleetReplay playDelayedGrantsAndDrains(long seed, boolean hasCopiedAnswers) {
         UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(seed);
         FleetReplay replay = new FleetReplay(seed, 3, new double[] {1, 1, 0.5, 1, 1.5, 1}, true);
         replay.generateLoad(40, 100, END_MILLIS, () -> random.nextInt(KeyMap.KEY_COUNT / 8));
         replay.time().after(3_000, () -> replay.grants().delayGrants(2_000));
+        if (hasCopiedAnswers) {
+            replay.grants().copyAnswers();
+        }
         for (int fault = 0; fault < FAULTS; fault++) {
             double atMillis = 3_000 + random.nextDouble() * (END_MILLIS - 10_000);
             String serverId = "server-" + (10 + random.nextInt(SERVERS));
             replay.time().after(atMillis, () -> replay.drain(serverId));
             replay.time().after(atMillis + 3_000, () -> replay.register(serverId));
         }
-
         replay.time().runUntilMillis(END_MILLIS);
-
-        assertThat(replay.result().doubleOwners()).isZero();
-        assertThat(replay.result().reusedFences()).isZero();
-        assertThat(replay.result().answeredRatio()).isPositive();
+        return replay;
     }
 
     private static void inject(int kind, String serverId, FleetReplay replay, UniformRandomProvider random) {
