--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpLoop.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpLoop.java
@@ -93,13 +93,14 @@
 
     /**
      * Starts {@code call} on a connection that carries nothing else, so that its response is no copy of an earlier one.
-     * The call is sent only if the process at its address passed {@code check}, if there is one.
+     * The call is sent only if the process at its address passed {@code check}, if there is one, or if the expected
+     * server just answered on the pinned connection to the address.
      */
     void startAlone(HttpCall call, Optional<ProcessCheck> check) {
         execute(call, () -> {
             call.checkTimeout(loop);
             Connector connector = connector(call.address());
-            if (check.isPresent()) {
+            if (check.isPresent() && !hasJustAnswered(call.address(), check.get())) {
                 check.get().run(connector, loop, verdict -> sendAlone(connector, call, verdict));
             } else {
                 sendAlone(connector, call, ProcessCheck.Verdict.EXPECTED);
@@ -107,6 +108,11 @@
         });
     }
 
+    private boolean hasJustAnswered(Address address, ProcessCheck check) {
+        PinnedConnection pinned = pinnedByAddress.get(address);
+        return pinned != null && pinned.hasJustAnswered(check.serverId());
+    }
+
     private static void sendAlone(Connector connector, HttpCall call, ProcessCheck.Verdict verdict) {
         if (verdict != ProcessCheck.Verdict.EXPECTED) {
             verdict.fail(call);
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/PinnedConnection.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/PinnedConnection.java
@@ -21,6 +21,8 @@
  */
 final class PinnedConnection implements ConnectionOwner {
     private static final String NOT_IDENTIFIED = "";
+    /** How long an answer shows who has the address, in milliseconds: an address is reused after 2 s at least. */
+    private static final long MAX_ANSWER_AGE_MILLIS = 1_000;
 
     private final Connector connector;
     private final EventLoop loop;
@@ -29,6 +31,7 @@
     private HttpConnection connection;
     private String identifiedServerId = NOT_IDENTIFIED;
     private boolean isBusy;
+    private long lastAnswerNanos;
 
     PinnedConnection(Connector connector, EventLoop loop) {
         this.connector = connector;
@@ -96,6 +99,7 @@
         HttpConnection opened = connector.create(this);
         connection = opened;
         identifiedServerId = next.check().map(ProcessCheck::serverId).orElse(NOT_IDENTIFIED);
+        lastAnswerNanos = System.nanoTime() - MAX_ANSWER_AGE_MILLIS * 1_000_000L;
         ChannelFuture connected = connector.open(opened);
         connected.channel().closeFuture().addListener(closed -> handleClosed(opened));
         connected.addListener(done -> {
@@ -105,11 +109,21 @@
             } else if (next.call().maySend()) {
                 write(next);
             } else {
-                release(opened);
+                isBusy = false;
+                sendNext();
             }
         });
     }
 
+    /** Returns whether {@code serverId} just answered on this connection, so that it still has the address. */
+    boolean hasJustAnswered(String serverId) {
+        long millisSinceAnswer = (System.nanoTime() - lastAnswerNanos) / 1_000_000L;
+        return connection != null
+                && connection.isUsable()
+                && identifiedServerId.equals(serverId)
+                && millisSinceAnswer < MAX_ANSWER_AGE_MILLIS;
+    }
+
     private void handleClosed(HttpConnection closed) {
         if (closed == connection) {
             forgetConnection();
@@ -135,6 +149,7 @@
     @Override
     public void release(HttpConnection released) {
         if (released == connection) {
+            lastAnswerNanos = System.nanoTime();
             isBusy = false;
             sendNext();
         }
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/CopiedControlResponseTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/CopiedControlResponseTest.java
@@ -220,6 +220,47 @@
         }
     }
 
+    /** Takes a grant after a health check; returns the connection of the grant. */
+    private Socket grantedAfterACheck() throws Exception {
+        run(grant(1, 7, false, "/health"));
+        try (Socket checked = listener.accept()) {
+            readTarget(checked);
+            write(checked, HEALTHY);
+            Socket granting = listener.accept();
+            assertThat(readTarget(granting)).isEqualTo("/grant");
+            write(granting, OK);
+            assertThat(event(2_000)).isEqualTo(new KeyEvent.GrantAccepted(1, true));
+            return granting;
+        }
+    }
+
+    @Test
+    void shouldReleaseOnANewConnectionWithoutAnotherCheckAtAServerThatJustAnsweredAGrant() throws Exception {
+        try (Socket granting = grantedAfterACheck()) {
+            run(release(2, "/health"));
+            try (Socket releasing = listener.accept()) {
+                assertThat(readTarget(releasing)).isEqualTo("/release");
+                writeCopy(granting, OK);
+                assertNoEvent();
+                write(releasing, OK);
+                assertThat(event(2_000)).isEqualTo(new KeyEvent.Released(2, ""));
+            }
+        }
+    }
+
+    /** Guards against releases that reach another server, to which the address has passed. */
+    @Test
+    void shouldCheckAServerAgainBeforeAReleaseOnceItsLastAnswerIsOld() throws Exception {
+        try (Socket granting = grantedAfterACheck()) {
+            Thread.sleep(1_050);
+            run(release(2, "/health"));
+            try (Socket checked = listener.accept()) {
+                assertThat(granting.isClosed()).isFalse();
+                assertThat(readTarget(checked)).isEqualTo("/health");
+            }
+        }
+    }
+
     @Test
     void shouldNotTakeACopiedRejectionForTheRejectionOfALaterGrant() throws Exception {
         run(grant(1, 7, false, ""));
