--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HealthCheckSender.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HealthCheckSender.java
@@ -30,6 +30,7 @@
         dialect.addHealthCheckHeaders(request.headers(), server.id());
         HttpCall call = new HttpCall(address, request, TIMEOUT_MILLIS, dialect::match, end -> handleEnd(server, end));
         call.identifyBy(dialect::requestId);
+        call.allowNamedResponsesBefore();
         call.expireUnsentAt(System.nanoTime() + TIMEOUT_MILLIS * 1_000_000L);
         loop.start(call);
     }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpCall.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpCall.java
@@ -39,6 +39,7 @@
     private boolean isFirstOnConnection;
     private IntPredicate keepsConnection = status -> true;
     private Optional<Function<HttpHeaders, Optional<String>>> requestIds = Optional.empty();
+    private boolean mayFollowNamedResponses;
     private Optional<String> serverId = Optional.empty();
     private boolean hasSendLimit;
     private long sendBeforeNanos;
@@ -104,6 +105,19 @@
         requestIds = Optional.of(newRequestIds);
     }
 
+    /**
+     * Lets a call without a request id use a connection that has carried calls with one: it decides nothing that an
+     * extra response without an id could make wrong for longer than until its next repetition. Must be called before
+     * the call is started.
+     */
+    void allowNamedResponsesBefore() {
+        mayFollowNamedResponses = true;
+    }
+
+    boolean mayFollowNamedResponses() {
+        return mayFollowNamedResponses;
+    }
+
     /** Records that the call is for the backend server {@code newServerId}. Must be called before it is started. */
     void addressTo(String newServerId) {
         serverId = Optional.of(newServerId);
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
@@ -98,12 +98,14 @@
 
     /**
      * Returns whether no response to an earlier call on this connection can be taken for that to {@code next}. If the
-     * response to {@code next} bears no request id, no earlier response may have been received at all.
+     * response to {@code next} bears no request id, no earlier response may have been received at all, unless the call
+     * allows it.
      */
     boolean mayCarry(HttpCall next) {
         boolean isUnnamed =
                 next.responseName().filter(HttpCall.NO_REQUEST_ID::equals).isPresent();
-        return history.mayCarry(next) && !(isUnnamed && hasSeenResponse);
+        boolean needsUnusedConnection = isUnnamed && !next.mayFollowNamedResponses();
+        return history.mayCarry(next) && !(needsUnusedConnection && hasSeenResponse);
     }
 
     void close() {
