--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/CopiedControlResponseTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/CopiedControlResponseTest.java
@@ -2,6 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -22,6 +26,7 @@
 import org.daisyscale.core.serving.ServingEvent;
 import org.daisyscale.router.internal.ring.ArrayRing;
 import org.daisyscale.router.internal.ring.Ring;
+import org.daisyscale.router.serving.ServingRouterSettings.Address;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -302,4 +307,27 @@
                     .isNull();
         }
     }
+
+    @Test
+    void shouldCheckTheHealthOnAKeptConnectionThatCarriedNamedCallsOnly() throws Exception {
+        HealthCheckSender sender = new HealthCheckSender(loop, dialect, healthReports::add);
+        BackendServer server =
+                new BackendServer("s1", 1, "stock", "127.0.0.1", listener.getLocalPort(), "d", 3, false, 0);
+        BlockingQueue<HttpCall.End> named = new ArrayBlockingQueue<>(1);
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/work");
+        request.headers().set("Id", "a");
+        Address address = new Address(server.host(), server.port());
+        HttpCall call = new HttpCall(address, request, 2_000, dialect::match, named::add);
+        call.identifyBy(dialect::requestId);
+        loop.start(call);
+        try (Socket kept = listener.accept()) {
+            assertThat(readTarget(kept)).isEqualTo("/work");
+            write(kept, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n");
+            assertThat(named.poll(2, TimeUnit.SECONDS).isAnswered()).isTrue();
+
+            sender.send(new ServingAction.CheckHealth(server, "/health"));
+
+            assertThat(readTarget(kept)).isEqualTo("/health");
+        }
+    }
 }
