--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpCall.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpCall.java
@@ -96,8 +96,8 @@
 
     /**
      * Makes the call use a connection on which no copy of an earlier response can be taken for the response to this
-     * call: one that has not carried its request id, or, for a call without one, no other call without one. Must be
-     * called before the call is started.
+     * call: one that has not carried its request id, or, for a call without one, one that has received no response (but
+     * see {@link #allowNamedResponsesBefore}). Must be called before the call is started.
      *
      * @param newRequestIds returns the request id from the headers of a request or response
      */
@@ -106,9 +106,8 @@
     }
 
     /**
-     * Lets a call without a request id use a connection that has carried calls with one: it decides nothing that an
-     * extra response without an id could make wrong for longer than until its next repetition. Must be called before
-     * the call is started.
+     * Lets this call, which has no request id, use a connection that has carried calls with one. For calls that are
+     * repeated and whose wrong response does no harm until the next one. Must be called before the call is started.
      */
     void allowNamedResponsesBefore() {
         mayFollowNamedResponses = true;
