--- a/daisyscale-core/src/main/java/org/daisyscale/core/error/CoreErrorCode.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/error/CoreErrorCode.java
@@ -20,6 +20,14 @@
             "DSC-1011",
             "The request was not run: its route may be newer than this router's configuration",
             "Retry later"),
+    UNKNOWN_API_KEY(
+            "DSC-1012",
+            "The request has no API key of an organisation",
+            "Send exactly one key that is in the configuration"),
+    API_KEY_UNCERTAIN(
+            "DSC-1013",
+            "The request was not run: its API key may be newer than this router's configuration",
+            "Retry later"),
     OVERLOADED("DSC-1101", "The request was not run: it can't be served before its deadline", "Retry later"),
     NO_OWNER("DSC-1102", "The request was not run: the key has no reachable owner now", "Retry in a few seconds"),
     NOT_READY("DSC-1103", "The request was not run: this router is not ready", "Try another router"),
@@ -35,6 +43,14 @@
             "The request was not run: the caller exceeds its fair share",
             "Reduce the request rate or retry later"),
     NO_SERVER("DSC-1109", "The request was not run: no backend server can take it now", "Retry later"),
+    ALLOWANCE_EXCEEDED(
+            "DSC-1110",
+            "The request was not run: the organisation has used its allowance",
+            "Reduce the request rate or retry after the given time"),
+    ALLOWANCE_UNCERTAIN(
+            "DSC-1111",
+            "The request was not run: this router can't find out whether the allowance has room",
+            "Retry later"),
     OUTCOME_UNKNOWN(
             "DSC-1201",
             "The request may have run",
--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/Route.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/Route.java
@@ -14,6 +14,7 @@
  * @param priority the priority; 0 is the highest
  * @param maxBackends the maximum number of backend servers that one request may be sent to
  * @param services the services that get the requests, in proportion to their weights; never empty
+ * @param isPublic whether requests need no API key where the configuration has organisations
  */
 public record Route(
         String name,
@@ -24,12 +25,37 @@
         long targetLatencyMillis,
         int priority,
         int maxBackends,
-        List<WeightedService> services) {
+        List<WeightedService> services,
+        boolean isPublic) {
 
     public Route {
         services = List.copyOf(services);
     }
 
+    /** Creates a route that isn't public. */
+    public Route(
+            String name,
+            String host,
+            String pathPrefix,
+            boolean isIdempotent,
+            long timeoutMillis,
+            long targetLatencyMillis,
+            int priority,
+            int maxBackends,
+            List<WeightedService> services) {
+        this(
+                name,
+                host,
+                pathPrefix,
+                isIdempotent,
+                timeoutMillis,
+                targetLatencyMillis,
+                priority,
+                maxBackends,
+                services,
+                false);
+    }
+
     /**
      * A service and its weight among the services of a route. Immutable.
      *
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/front/Rejections.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/front/Rejections.java
@@ -73,6 +73,10 @@
         statuses.put(CoreErrorCode.OVERLOADED, 503);
         statuses.put(CoreErrorCode.NO_ROUTE, 404);
         statuses.put(CoreErrorCode.ROUTE_UNCERTAIN, 503);
+        statuses.put(CoreErrorCode.UNKNOWN_API_KEY, 401);
+        statuses.put(CoreErrorCode.API_KEY_UNCERTAIN, 503);
+        statuses.put(CoreErrorCode.ALLOWANCE_EXCEEDED, 429);
+        statuses.put(CoreErrorCode.ALLOWANCE_UNCERTAIN, 503);
         statuses.put(CoreErrorCode.NO_SERVER, 503);
         statuses.put(CoreErrorCode.TIMED_OUT, 504);
         statuses.put(CoreErrorCode.NO_OWNER, 503);
