API keys of organisations: read, told as differences, checked and replaced by the organisation

Requests on routes that aren't public need one known key; 401 while the configuration is current, else 503. Without the table nothing changes on the wire.

--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/FleetView.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/FleetView.java
@@ -23,6 +23,7 @@
     private final ConfigurationStatus configuration = new ConfigurationStatus();
     private RoutingTable table;
     private RouteIndex routes;
+    private OrganisationIndex organisations;
 
     FleetView(ServingSettings settings) {
         this.settings = settings;
@@ -60,6 +61,7 @@
         table = newer;
         configuration.replace(newer, source);
         routes = new RouteIndex(newer);
+        organisations = new OrganisationIndex(newer.organisations());
         return true;
     }
 
@@ -76,6 +78,10 @@
         return routes;
     }
 
+    OrganisationIndex organisations() {
+        return organisations;
+    }
+
     Optional<ServiceRules> rules(String service) {
         return Optional.ofNullable(table).map(current -> current.services().get(service));
     }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/OpenRequest.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/OpenRequest.java
@@ -1,7 +1,10 @@
 package org.daisyscale.core.internal.serving;
 
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
+import org.daisyscale.core.serving.CallerIdentity;
+import org.daisyscale.core.serving.Organisation;
 import org.daisyscale.core.serving.RequestHead;
 import org.daisyscale.core.serving.Route;
 
@@ -11,6 +14,8 @@
     private final RequestHead head;
     private final long fingerprint;
     private final Route route;
+    private final Optional<Organisation> organisation;
+    private final CallerIdentity caller;
     private final String service;
     private final long arrivedNanos;
     private final long deadlineNanos;
@@ -26,6 +31,7 @@
             RequestHead head,
             long fingerprint,
             Route route,
+            Caller caller,
             String service,
             long arrivedNanos,
             long deadlineNanos) {
@@ -33,6 +39,8 @@
         this.head = head;
         this.fingerprint = fingerprint;
         this.route = route;
+        this.organisation = caller.organisation();
+        this.caller = caller.identity();
         this.service = service;
         this.arrivedNanos = arrivedNanos;
         this.deadlineNanos = deadlineNanos;
@@ -55,6 +63,20 @@
         return route;
     }
 
+    /** Returns the organisation of the caller; empty on public routes and without organisations. */
+    Optional<Organisation> organisation() {
+        return organisation;
+    }
+
+    CallerIdentity caller() {
+        return caller;
+    }
+
+    /** Returns the priority; 0 is the highest. An organisation's own goes before the route's. */
+    int priority() {
+        return organisation.map(known -> known.priorityOn(route)).orElse(route.priority());
+    }
+
     String service() {
         return service;
     }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
@@ -117,7 +117,22 @@
         }
         Optional<Route> route = fleet.routes().find(head.host(), head.path());
         if (route.isEmpty()) {
-            rejectWithoutRoute(requestId, head, nowNanos);
+            rejectByConfiguration(
+                    requestId,
+                    CoreErrorCode.NO_ROUTE,
+                    CoreErrorCode.ROUTE_UNCERTAIN,
+                    "host=" + head.host() + " path=" + head.path(),
+                    nowNanos);
+            return;
+        }
+        Optional<Caller> caller = fleet.organisations().identify(head, route.get());
+        if (caller.isEmpty()) {
+            rejectByConfiguration(
+                    requestId,
+                    CoreErrorCode.UNKNOWN_API_KEY,
+                    CoreErrorCode.API_KEY_UNCERTAIN,
+                    "route=" + route.get().name() + " keyDigest=" + head.apiKey(),
+                    nowNanos);
             return;
         }
         long waitedMillis = Math.max(0, (nowNanos - arrived.arrivedNanos()) / 1_000_000L);
@@ -134,16 +149,21 @@
             reject(requestId, CoreErrorCode.SUSPECT_REQUEST, detail, pauseMillis);
             return;
         }
-        open(arrived, route.get(), nowNanos);
+        open(arrived, route.get(), caller.get(), nowNanos);
     }
 
-    private void rejectWithoutRoute(long requestId, RequestHead head, long nowNanos) {
+    /**
+     * Rejects a request that the configuration doesn't allow: as {@code certain} if the configuration is current, and
+     * as {@code uncertain}, which isn't final, if operators may have written a newer one.
+     */
+    private void rejectByConfiguration(
+            long requestId, CoreErrorCode certain, CoreErrorCode uncertain, String detail, long nowNanos) {
         ConfigurationStatus configuration = fleet.configuration();
         boolean isCurrent = configuration.isCurrent(nowNanos);
         actions.add(new ServingAction.Reject(
                 requestId,
-                isCurrent ? CoreErrorCode.NO_ROUTE : CoreErrorCode.ROUTE_UNCERTAIN,
-                "host=" + head.host() + " path=" + head.path(),
+                isCurrent ? certain : uncertain,
+                detail,
                 isCurrent ? 0 : jitteredMillis(UNCERTAIN_RETRY_AFTER_MILLIS),
                 configuration.describe(nowNanos)));
     }
@@ -157,7 +177,7 @@
         return Math.min(MAX_UNREAD_MILLIS, callerTimeoutMillis(head) * MAX_UNREAD_FRACTION);
     }
 
-    private void open(ServingEvent.RequestArrived arrived, Route route, long nowNanos) {
+    private void open(ServingEvent.RequestArrived arrived, Route route, Caller caller, long nowNanos) {
         long requestId = arrived.requestId();
         RequestHead head = arrived.head();
         long callerTimeoutMillis = callerTimeoutMillis(head);
@@ -168,6 +188,7 @@
                 head,
                 arrived.fingerprint(),
                 route,
+                caller,
                 service,
                 arrived.arrivedNanos(),
                 arrived.arrivedNanos() + timeoutMillis * 1_000_000L);
@@ -185,9 +206,7 @@
         openById.values().stream()
                 .filter(request ->
                         request.currentServer() == null && request.service().equals(service))
-                .sorted(Comparator.comparingInt(
-                                (OpenRequest request) -> request.route().priority())
-                        .thenComparingLong(OpenRequest::deadlineNanos))
+                .sorted(Comparator.comparingInt(OpenRequest::priority).thenComparingLong(OpenRequest::deadlineNanos))
                 .toList()
                 .forEach(request -> place(request, nowNanos));
     }
@@ -223,7 +242,11 @@
         }
         request.startAttempt(view, nowNanos);
         actions.add(new ServingAction.SendAttempt(
-                request.requestId(), request.attemptCount(), view.server(), request.timeLeftMillis(nowNanos)));
+                request.requestId(),
+                request.attemptCount(),
+                view.server(),
+                request.timeLeftMillis(nowNanos),
+                request.caller()));
         healthChecks.onSent(view, nowNanos).ifPresent(actions::add);
     }
 
--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/RoutingTable.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/RoutingTable.java
@@ -29,8 +29,11 @@
         this(version, routes, services, limits, OrganisationTable.NONE);
     }
 
-    /** Returns a digest of the routes in their order, the rules and the limits; the same on each router. */
+    /**
+     * Returns a digest of the routes in their order, the rules, the limits and the organisations; the same on each
+     * router.
+     */
     public long digest() {
-        return RoutingTableDigest.of(routes, services, limits);
+        return RoutingTableDigest.of(routes, services, limits, organisations);
     }
 }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/RoutingTableChange.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/RoutingTableChange.java
@@ -18,7 +18,8 @@
  * @param removedRoutes the names of the routes that are not in the newer version
  * @param services the rules of all services in the newer version, by name
  * @param limits the limits in the newer version
- * @param digest the digest of the newer version's routes, rules and limits
+ * @param digest the digest of the newer version's routes, rules, limits and organisations
+ * @param organisations the change of the organisations
  */
 public record RoutingTableChange(
         Set<Long> fromVersions,
@@ -28,7 +29,8 @@
         Set<String> removedRoutes,
         Map<String, ServiceRules> services,
         RequestLimits limits,
-        long digest) {
+        long digest,
+        OrganisationTable.Change organisations) {
 
     public RoutingTableChange {
         fromVersions = Set.copyOf(fromVersions);
@@ -38,6 +40,28 @@
         services = Map.copyOf(services);
     }
 
+    /** Creates a change to a version without organisations. */
+    public RoutingTableChange(
+            Set<Long> fromVersions,
+            long version,
+            List<Route> changedRoutes,
+            List<Integer> positions,
+            Set<String> removedRoutes,
+            Map<String, ServiceRules> services,
+            RequestLimits limits,
+            long digest) {
+        this(
+                fromVersions,
+                version,
+                changedRoutes,
+                positions,
+                removedRoutes,
+                services,
+                limits,
+                digest,
+                OrganisationTable.Change.NONE);
+    }
+
     /** Returns a change that holds the whole {@code table} and applies to any other. */
     public static RoutingTableChange whole(RoutingTable table) {
         List<Integer> positions = new ArrayList<>();
@@ -52,7 +76,8 @@
                 Set.of(),
                 table.services(),
                 table.limits(),
-                table.digest());
+                table.digest(),
+                table.organisations().changeOf(table.organisations().byName().keySet()));
     }
 
     /** Returns whether the change holds the whole newer version. */
@@ -62,17 +87,20 @@
 
     /** Returns whether the change leads from {@code table} to the complete newer version. */
     public boolean appliesTo(RoutingTable table) {
-        return (isWhole() || fromVersions.contains(table.version())) && leadsToDigest(table.routes());
+        return (isWhole() || fromVersions.contains(table.version()))
+                && leadsToDigest(table.routes(), table.organisations());
     }
 
     /** Returns whether a whole table is complete, so that it can be used without an older one. */
     public boolean isCompleteTable() {
-        return isWhole() && leadsToDigest(List.of());
+        return isWhole() && leadsToDigest(List.of(), OrganisationTable.NONE);
     }
 
-    private boolean leadsToDigest(List<Route> olderRoutes) {
+    private boolean leadsToDigest(List<Route> olderRoutes, OrganisationTable olderOrganisations) {
         return arePositionsValid(olderRoutes)
-                && RoutingTableDigest.of(routesAfter(olderRoutes), services, limits) == digest;
+                && RoutingTableDigest.of(
+                                routesAfter(olderRoutes), services, limits, organisationsAfter(olderOrganisations))
+                        == digest;
     }
 
     private boolean arePositionsValid(List<Route> olderRoutes) {
@@ -93,12 +121,17 @@
 
     /** Returns the newer version of {@code table}, to which this change must apply. */
     public RoutingTable applyTo(RoutingTable table) {
-        return new RoutingTable(version, routesAfter(table.routes()), services, limits);
+        return new RoutingTable(
+                version, routesAfter(table.routes()), services, limits, organisationsAfter(table.organisations()));
     }
 
     /** Returns the table of a change that {@link #isCompleteTable}. */
     public RoutingTable toTable() {
-        return new RoutingTable(version, changedRoutes, services, limits);
+        return new RoutingTable(version, changedRoutes, services, limits, organisationsAfter(OrganisationTable.NONE));
+    }
+
+    private OrganisationTable organisationsAfter(OrganisationTable older) {
+        return organisations.applyTo(isWhole() ? OrganisationTable.NONE : older);
     }
 
     private List<Route> routesAfter(List<Route> olderRoutes) {
--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/RoutingTableDigest.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/RoutingTableDigest.java
@@ -11,7 +11,11 @@
 final class RoutingTableDigest {
     private RoutingTableDigest() {}
 
-    static long of(List<Route> routes, Map<String, ServiceRules> services, RequestLimits limits) {
+    static long of(
+            List<Route> routes,
+            Map<String, ServiceRules> services,
+            RequestLimits limits,
+            OrganisationTable organisations) {
         StableDigest digest = new StableDigest();
         add(digest, limits);
         digest.add(routes.size());
@@ -20,7 +24,34 @@
         for (Map.Entry<String, ServiceRules> entry : services.entrySet()) {
             rulesDigest += of(entry.getKey(), entry.getValue());
         }
-        return digest.add(services.size()).add(rulesDigest).value();
+        digest.add(services.size()).add(rulesDigest);
+        if (organisations.isInForce()) {
+            add(digest, organisations);
+        }
+        return digest.value();
+    }
+
+    private static void add(StableDigest digest, OrganisationTable organisations) {
+        long sum = 0;
+        for (Organisation organisation : organisations.byName().values()) {
+            sum += of(organisation);
+        }
+        digest.add(organisations.byName().size()).add(sum);
+    }
+
+    private static long of(Organisation organisation) {
+        long keySum = 0;
+        for (ApiKeyDigest key : organisation.apiKeys()) {
+            keySum += new StableDigest().add(key.hex()).value();
+        }
+        return new StableDigest()
+                .add(organisation.name())
+                .add(organisation.apiKeys().size())
+                .add(keySum)
+                .add(organisation.priority())
+                .add(organisation.allowance().requestsPerSecond())
+                .add(organisation.allowance().burstRequests())
+                .value();
     }
 
     private static void add(StableDigest digest, Route route) {
@@ -33,6 +64,9 @@
                 .add(route.priority())
                 .add(route.maxBackends())
                 .add(route.services().size());
+        if (route.isPublic()) {
+            digest.add(true);
+        }
         for (Route.WeightedService service : route.services()) {
             digest.add(service.service()).add(service.weight());
         }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/RoutingTableHistory.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/RoutingTableHistory.java
@@ -13,11 +13,11 @@
 import java.util.stream.Collectors;
 
 /**
- * Records which routes the last versions of the configuration touched, so that a change from any of them to the newest
- * version can be sent without the whole table. Not thread-safe; confined to one thread.
+ * Records which routes and organisations the last versions of the configuration touched, so that a change from any of
+ * them to the newest version can be sent without the whole table. Not thread-safe; confined to one thread.
  */
 public final class RoutingTableHistory {
-    /** Maximum number of touched routes in all steps that are remembered. */
+    /** Maximum number of touched routes and organisations in all steps that are remembered. */
     public static final int MAX_TOUCHED_ROUTES = 4_096;
     /** Maximum number of versions that are remembered; a version may touch no route. */
     public static final int MAX_STEPS = 512;
@@ -42,7 +42,11 @@
             steps.clear();
             touchedCount = 0;
         } else {
-            recordStep(new Step(newest.version(), newestRevision, touched(newest, table)));
+            recordStep(new Step(
+                    newest.version(),
+                    newestRevision,
+                    touched(newest, table),
+                    newest.organisations().namesThatDifferFrom(table.organisations())));
         }
         newest = table;
         newestRevision = revision;
@@ -51,33 +55,39 @@
 
     private void recordStep(Step step) {
         steps.addLast(step);
-        touchedCount += step.touched().size();
+        touchedCount += step.touchedCount();
         while (touchedCount > MAX_TOUCHED_ROUTES || steps.size() > MAX_STEPS) {
-            touchedCount -= steps.removeFirst().touched().size();
+            touchedCount -= steps.removeFirst().touchedCount();
         }
     }
 
     /**
      * Returns the change to the newest version from the version that was in the store at {@code heldRevision}; empty if
-     * that one is not recorded, or if the change would hold more than half of the routes. At least one table must have
-     * been added.
+     * that one is not recorded, or if the change would hold more than half of the routes and organisations. At least
+     * one table must have been added.
      */
     public Optional<RoutingTableChange> changeFrom(long heldRevision) {
         if (heldRevision >= newestRevision) {
-            return Optional.of(change(Set.of(newest.version()), Set.of()));
+            return Optional.of(change(Set.of(newest.version()), Set.of(), Set.of()));
         }
         Set<Long> fromVersions = new HashSet<>(Set.of(newest.version()));
         Set<String> touched = new HashSet<>();
+        Set<String> touchedOrganisations = new HashSet<>();
         boolean isReached = false;
         for (Step step : newestFirst()) {
             if (!isReached) {
                 fromVersions.add(step.fromVersion());
                 touched.addAll(step.touched());
+                touchedOrganisations.addAll(step.touchedOrganisations());
                 isReached = step.fromRevision() <= heldRevision;
             }
         }
-        boolean isSmall = 2 * touched.size() <= newest.routes().size();
-        return isReached && isSmall ? Optional.of(change(fromVersions, touched)) : Optional.empty();
+        int totalCount =
+                newest.routes().size() + newest.organisations().byName().size();
+        boolean isSmall = 2 * (touched.size() + touchedOrganisations.size()) <= totalCount;
+        return isReached && isSmall
+                ? Optional.of(change(fromVersions, touched, touchedOrganisations))
+                : Optional.empty();
     }
 
     private List<Step> newestFirst() {
@@ -86,7 +96,7 @@
         return reversed;
     }
 
-    private RoutingTableChange change(Set<Long> fromVersions, Set<String> touched) {
+    private RoutingTableChange change(Set<Long> fromVersions, Set<String> touched, Set<String> touchedOrganisations) {
         Set<String> removed = new HashSet<>(touched);
         List<Route> changed = new ArrayList<>();
         List<Integer> positions = new ArrayList<>();
@@ -105,7 +115,8 @@
                 removed,
                 newest.services(),
                 newest.limits(),
-                newestDigest);
+                newestDigest,
+                newest.organisations().changeOf(touchedOrganisations));
     }
 
     private static boolean areNamesUnique(RoutingTable table) {
@@ -139,6 +150,12 @@
      * @param fromVersion the version before it
      * @param fromRevision the store's revision of the version before it
      * @param touched the names of the routes that it added, changed, moved or removed
+     * @param touchedOrganisations the names of the organisations that it added, changed or removed
      */
-    private record Step(long fromVersion, long fromRevision, Set<String> touched) {}
+    private record Step(long fromVersion, long fromRevision, Set<String> touched, Set<String> touchedOrganisations) {
+
+        int touchedCount() {
+            return touched.size() + touchedOrganisations.size();
+        }
+    }
 }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingAction.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingAction.java
@@ -13,9 +13,16 @@
      * @param attempt 1 for the first attempt
      * @param server the server
      * @param timeLeftMillis how long the server has to answer, in milliseconds
+     * @param caller who the caller is
      */
-    record SendAttempt(long requestId, int attempt, BackendServer server, long timeLeftMillis)
-            implements ServingAction {}
+    record SendAttempt(long requestId, int attempt, BackendServer server, long timeLeftMillis, CallerIdentity caller)
+            implements ServingAction {
+
+        /** Creates the action for a caller whose identity isn't verified. */
+        public SendAttempt(long requestId, int attempt, BackendServer server, long timeLeftMillis) {
+            this(requestId, attempt, server, timeLeftMillis, CallerIdentity.UNVERIFIED);
+        }
+    }
 
     /** Cancels an attempt by closing its connection. */
     record CancelAttempt(long requestId, int attempt) implements ServingAction {}
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/AttemptSender.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/AttemptSender.java
@@ -47,7 +47,7 @@
         Address address = new Address(server.host(), server.port());
         HttpCall call = new HttpCall(
                 address,
-                request(exchange, server, action.timeLeftMillis()),
+                request(exchange, action),
                 action.timeLeftMillis() + TIMEOUT_MARGIN_MILLIS,
                 dialect::match,
                 end -> handleEnd(exchange, action.attempt(), end));
@@ -65,7 +65,7 @@
         }
     }
 
-    private FullHttpRequest request(Exchange exchange, BackendServer server, long timeLeftMillis) {
+    private FullHttpRequest request(Exchange exchange, ServingAction.SendAttempt action) {
         FullHttpRequest request = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 HttpMethod.valueOf(exchange.method()),
@@ -77,7 +77,10 @@
         if (exchange.body().length > 0 || declaresBody(exchange)) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, exchange.body().length);
         }
-        dialect.addRequestHeaders(request.headers(), server, timeLeftMillis);
+        if (action.caller().isVerified()) {
+            dialect.setCaller(request.headers(), action.caller());
+        }
+        dialect.addRequestHeaders(request.headers(), action.server(), action.timeLeftMillis());
         return request;
     }
 
--- a/daisyscale-router/src/main/java/org/daisyscale/router/serving/BackendDialect.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/serving/BackendDialect.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.daisyscale.core.serving.AttemptOutcome;
 import org.daisyscale.core.serving.BackendServer;
+import org.daisyscale.core.serving.CallerIdentity;
 import org.daisyscale.core.serving.HealthReport;
 import org.daisyscale.core.serving.LoadReport;
 import org.daisyscale.core.serving.ServerNotice;
@@ -17,6 +18,12 @@
      */
     void addRequestHeaders(HttpHeaders headers, BackendServer server, long timeLeftMillis);
 
+    /**
+     * Removes from the headers of a request what callers say of themselves, and adds the organisation that {@code
+     * caller} belongs to. Not called while the configuration has no organisations.
+     */
+    void setCaller(HttpHeaders headers, CallerIdentity caller);
+
     /** Returns the request id that a request or a response bears; empty if it bears none. */
     Optional<String> requestId(HttpHeaders headers);
 
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/NamedAnswersDialect.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/NamedAnswersDialect.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.daisyscale.core.serving.AttemptOutcome;
 import org.daisyscale.core.serving.BackendServer;
+import org.daisyscale.core.serving.CallerIdentity;
 import org.daisyscale.core.serving.HealthReport;
 import org.daisyscale.core.serving.LoadReport;
 import org.daisyscale.core.serving.ServerNotice;
@@ -16,6 +17,9 @@
 class NamedAnswersDialect implements BackendDialect {
     private static final int MISDIRECTED = 421;
 
+    @Override
+    public void setCaller(HttpHeaders headers, CallerIdentity caller) {}
+
     @Override
     public void addRequestHeaders(HttpHeaders headers, BackendServer server, long timeLeftMillis) {
         headers.set("Left", timeLeftMillis);
