Routers list instead of watching while another router takes over

After the loss of a controller each router watched op/ and servers/, and each change ended each watch: 95 of about 290 calls in 5 s of 19 routers. A router now lists these prefixes whenever its view is 1.1 s old, until a controller should have reported; the view never gets older than before. The fleet's prefix is watched as before.

--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/TellerDialogue.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/TellerDialogue.java
@@ -13,6 +13,7 @@
 
     private Optional<Teller> teller = Optional.empty();
     private long heardNanos;
+    private boolean hasBeenHeard;
     private boolean hasSaid;
     private boolean mustSay;
     private boolean needsWhole;
@@ -32,6 +33,7 @@
             endPause();
         }
         heardNanos = nowNanos;
+        hasBeenHeard = true;
     }
 
     /** Forgets the teller, because it fell silent; returns whether there was one. */
@@ -87,6 +89,11 @@
         return heardNanos;
     }
 
+    /** Returns whether any teller was ever heard. */
+    boolean hasBeenHeard() {
+        return hasBeenHeard;
+    }
+
     boolean hasTeller() {
         return teller.isPresent();
     }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewFollower.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewFollower.java
@@ -25,6 +25,12 @@
      * and a call without a response and a second one still end within the 2 s in which a change must be in force.
      */
     public static final long TOLD_OVERDUE_MILLIS = 1_100;
+    /**
+     * How long a router expects another one to take over from a silent controller, in milliseconds: the time to live of
+     * the control lease, the election and the first report. Meanwhile it lists whenever its view is {@link
+     * #TOLD_OVERDUE_MILLIS} old, because a watch ends with each change and costs a call each time.
+     */
+    public static final long TAKEOVER_MILLIS = 3_500;
     /** Time after which a router that hears no controller gives up a watch and lists, in milliseconds. */
     public static final long ALONE_OVERDUE_MILLIS = 1_400;
     /** Age of a gap at which the follower asks, in milliseconds: more than the latency between two data centres. */
@@ -42,6 +48,8 @@
 
     private final RandomGenerator random;
     private final boolean isListedWhileChanging;
+    private final boolean isTakeoverAwaited;
+    private final long createdNanos;
     private final ViewAge age;
     private final TellerDialogue dialogue;
     private final StoreReads reads;
@@ -63,8 +71,26 @@
      * @param nowNanos the time by the monotonic clock
      */
     public ViewFollower(RandomGenerator random, long batchMillis, boolean isListedWhileChanging, long nowNanos) {
+        this(random, batchMillis, isListedWhileChanging, false, nowNanos);
+    }
+
+    /**
+     * Creates a follower that holds nothing.
+     *
+     * @param isTakeoverAwaited whether this router lists now and then instead of watching at its start and after the
+     *     controller fell silent, until a controller should have reported ({@link #TAKEOVER_MILLIS}); not for the
+     *     prefix that shows who is the controller
+     */
+    public ViewFollower(
+            RandomGenerator random,
+            long batchMillis,
+            boolean isListedWhileChanging,
+            boolean isTakeoverAwaited,
+            long nowNanos) {
         this.random = random;
         this.isListedWhileChanging = isListedWhileChanging;
+        this.isTakeoverAwaited = isTakeoverAwaited;
+        this.createdNanos = nowNanos;
         this.steppedNanos = nowNanos;
         this.age = new ViewAge(nowNanos);
         this.dialogue = new TellerDialogue();
@@ -173,6 +199,17 @@
         return dialogue.hasTeller() && nowNanos - silentNanos() < 0;
     }
 
+    /** Returns whether this router relies on a controller: one that reported lately, or one that is expected to. */
+    private boolean isFollowing(boolean isController, long nowNanos) {
+        return !isController && (isTold(nowNanos) || (isTakeoverAwaited && nowNanos - takeoverEndNanos() < 0));
+    }
+
+    /** Returns when a controller should have reported, counted from the last report or from the start. */
+    private long takeoverEndNanos() {
+        long sinceNanos = dialogue.hasBeenHeard() ? dialogue.heardNanos() : createdNanos;
+        return sinceNanos + Deadlines.nanos(TAKEOVER_MILLIS) + spreadNanos;
+    }
+
     /** Returns when the teller counts as silent unless it reports again. */
     private long silentNanos() {
         return dialogue.heardNanos() + Deadlines.nanos(TOLD_OVERDUE_MILLIS) + spreadNanos;
@@ -204,7 +241,7 @@
      * @param isController whether this router is the controller, which reads the store for all
      */
     public FollowStep next(boolean isController, long nowNanos) {
-        boolean isFollowing = !isController && isTold(nowNanos);
+        boolean isFollowing = isFollowing(isController, nowNanos);
         wasController = wasController && isController;
         Optional<Holding> holding = isFollowing ? dialogue.next(held, age, nowNanos) : Optional.empty();
         Optional<ReadRequest> read = isFollowing ? readWhileTold(nowNanos) : readAlone(isController, nowNanos);
@@ -276,7 +313,7 @@
         Deadlines deadlines = new Deadlines(nowNanos, MAX_STEP_MILLIS);
         if (isFollowing) {
             dialogue.addDeadlines(deadlines, age);
-            deadlines.add(silentNanos());
+            deadlines.add(isTakeoverAwaited ? takeoverEndNanos() : silentNanos());
             deadlines.add(overdueNanos());
             deadlines.add(reads.againNanos(READ_AGAIN_MILLIS));
         }
--- a/daisyscale-core/src/test/java/org/daisyscale/core/following/FollowerDriver.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/following/FollowerDriver.java
@@ -17,11 +17,19 @@
     private long nowNanos = Long.MAX_VALUE - 400 * MILLIS;
 
     private long startNanos = nowNanos;
-    private final ViewFollower follower = new ViewFollower(new SplittableRandom(1), BATCH_MILLIS, false, nowNanos);
+    private final ViewFollower follower;
     private final List<Holding> holdings = new ArrayList<>();
     private final List<ReadRequest> reads = new ArrayList<>();
     private boolean isController;
 
+    FollowerDriver() {
+        this(false);
+    }
+
+    FollowerDriver(boolean isTakeoverAwaited) {
+        follower = new ViewFollower(new SplittableRandom(1), BATCH_MILLIS, false, isTakeoverAwaited, nowNanos);
+    }
+
     static ViewVersion version(long revision) {
         return new ViewVersion(revision, 10 * revision);
     }
--- a/daisyscale-core/src/test/java/org/daisyscale/core/following/ModelRouter.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/following/ModelRouter.java
@@ -42,7 +42,8 @@
         this.id = id;
         this.fleet = fleet;
         this.checks = checks;
-        this.follower = new ViewFollower(new SplittableRandom(seed), BATCH_MILLIS, seed % 2 == 0, fleet.nowNanos());
+        this.follower = new ViewFollower(
+                new SplittableRandom(seed), BATCH_MILLIS, seed % 2 == 0, seed % 3 == 0, fleet.nowNanos());
     }
 
     String id() {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -205,8 +205,12 @@
             boolean isListedWhileChanging,
             Consumer<Long> onCurrent) {
         Ring<FollowEvent> inbox = new ArrayRing<>("follow-" + prefix, FOLLOW_RING_CAPACITY);
-        ViewFollower follower =
-                new ViewFollower(new SplittableRandom(), CHANGE_BATCH_MILLIS, isListedWhileChanging, System.nanoTime());
+        ViewFollower follower = new ViewFollower(
+                new SplittableRandom(),
+                CHANGE_BATCH_MILLIS,
+                isListedWhileChanging,
+                !prefix.equals(StoreKeys.PREFIX),
+                System.nanoTime());
         FollowReports reports =
                 new FollowReports(EventLog::info, result -> metrics.controllerUpdate(prefix, result), onCurrent);
         FollowedPrefix followed = FollowedPrefix.start(
