--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServiceKeyCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServiceKeyCoordinator.java
@@ -25,7 +25,13 @@
      * How long a completed move may wait to be written together with other changes, in milliseconds: it is published to
      * routers at once, and only a new controller reads it from the store.
      */
-    private static final long SETTLE_DELAY_MILLIS = 300;
+    private static final long SETTLE_DELAY_MILLIS = 500;
+
+    /**
+     * Shortest time between a write and a plan that only merges ranges, in milliseconds: no request waits for a merge,
+     * and each write costs. A plan that moves keys merges at once.
+     */
+    private static final long MERGE_DELAY_MILLIS = 500;
 
     private static final PlanStep SETTLE = new SettleStep();
     private static final PlanStep LOST_OWNER = new LostOwnerStep();
@@ -190,12 +196,18 @@
             load.decayTo(nowNanos);
             HOT_KEY.plan(draft, context);
             BALANCE.plan(draft, context);
+        }
+        if (draft.hasMoves() || isSinceLastWrite(MERGE_DELAY_MILLIS, nowNanos)) {
             MERGE.plan(draft, context);
         }
-        boolean isDue = draft.hasMoves() || nowNanos - lastWriteNanos >= SETTLE_DELAY_MILLIS * 1_000_000L;
+        boolean isDue = draft.hasMoves() || isSinceLastWrite(SETTLE_DELAY_MILLIS, nowNanos);
         return draft.isChanged() && isDue ? Optional.of(draft.toMap()) : Optional.empty();
     }
 
+    private boolean isSinceLastWrite(long millis, long nowNanos) {
+        return nowNanos - lastWriteNanos >= millis * 1_000_000L;
+    }
+
     /** Returns the servers that may get more keys: warm ones that answer, or all that answer if none is warm. */
     private List<BackendServer> warm(List<BackendServer> usable, long nowNanos) {
         List<BackendServer> answering = usable.stream()
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetListeners.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetListeners.java
@@ -1,16 +1,11 @@
 package org.daisyscale.router.internal.serving;
 
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.daisyscale.core.following.ViewListener;
 import org.daisyscale.core.keys.KeyEvent;
 import org.daisyscale.core.platform.CoordinationStore.Item;
 import org.daisyscale.core.serving.BackendServer;
 import org.daisyscale.core.serving.ServingEvent;
-import org.daisyscale.router.internal.json.Json;
 import org.daisyscale.router.internal.log.EventLog;
 import org.daisyscale.router.serving.FleetDecoder;
 
@@ -80,63 +75,6 @@
 
     /** Creates a listener for the items that routers write. */
     ViewListener createRouterListener(String ownId, LeaseDuty lease, ControllerLink controller) {
-        Set<String> routerIds = new HashSet<>(Set.of(ownId));
-        Map<String, Double> coresByRouter = new HashMap<>();
-        return new ViewListener() {
-            private boolean isControlled;
-            private boolean hasSecret;
-
-            @Override
-            public void onWritten(Item item, long maxAgeMillis) {
-                if (item.key().startsWith(StoreKeys.ROUTERS)) {
-                    routerIds.add(item.key().substring(StoreKeys.ROUTERS.length()));
-                    RouterEntry entry = Json.read(item.value(), RouterEntry.class);
-                    controller.addRouter(entry);
-                    coresByRouter.put(entry.routerId(), entry.cores());
-                    publishRouters();
-                } else if (item.key().equals(StoreKeys.CONTROLLER)) {
-                    isControlled = true;
-                    controller.setController(Json.read(item.value(), RouterEntry.class));
-                } else if (item.key().equals(StoreKeys.PEER_SECRET)) {
-                    hasSecret = true;
-                    controller.startNetwork(Json.read(item.value(), String.class));
-                }
-                lease.recordStoreState(isControlled, !hasSecret);
-            }
-
-            @Override
-            public void onRemoved(String key) {
-                if (key.startsWith(StoreKeys.ROUTERS)) {
-                    String routerId = key.substring(StoreKeys.ROUTERS.length());
-                    routerIds.remove(routerId);
-                    coresByRouter.remove(routerId);
-                    controller.removeRouter(routerId);
-                    routerIds.add(ownId);
-                    publishRouters();
-                } else if (key.equals(StoreKeys.CONTROLLER)) {
-                    isControlled = false;
-                    lease.recordStoreState(false, !hasSecret);
-                }
-            }
-
-            private void publishRouters() {
-                EventLog.info("routers-seen", "count=" + routerIds.size() + " routers=" + routerIds);
-                servingEvents.accept(new ServingEvent.RoutersChanged(routerIds));
-                lease.recordMostCores(mostCores(coresByRouter));
-            }
-
-            @Override
-            public void onComplete() {
-                lease.recordStoreState(isControlled, !hasSecret);
-                readiness.markRoutersKnown();
-            }
-        };
-    }
-
-    private static double mostCores(Map<String, Double> coresByRouter) {
-        return coresByRouter.values().stream()
-                .mapToDouble(Double::doubleValue)
-                .max()
-                .orElse(0);
+        return new RouterListener(ownId, lease, controller, servingEvents, readiness);
     }
 }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/KeyMapDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/KeyMapDuty.java
@@ -23,10 +23,13 @@
     private static final Duration MAX_WAIT = Duration.ofSeconds(1);
     /** Delay before a failed read is retried, in milliseconds. */
     private static final long RETRY_DELAY_MILLIS = 150;
+    /** Longest delay before a failed read is retried, in milliseconds: refused calls cost as much as others. */
+    private static final long MAX_RETRY_DELAY_MILLIS = 1_200;
 
     private final CoordinationStore store;
     private final Ring<KeyAction> mapActions;
     private final Consumer<KeyEvent> keyEvents;
+    private long retryDelayMillis = RETRY_DELAY_MILLIS;
 
     KeyMapDuty(CoordinationStore store, Ring<KeyAction> mapActions, Consumer<KeyEvent> keyEvents) {
         this.store = store;
@@ -77,6 +80,7 @@
     private void read(String service) throws InterruptedException {
         try {
             Optional<Item> item = store.get(StoreKeys.keyMap(service));
+            retryDelayMillis = RETRY_DELAY_MILLIS;
             keyEvents.accept(
                     item.isPresent()
                             ? new KeyEvent.MapRead(
@@ -85,7 +89,8 @@
                             : new KeyEvent.MapAbsent(service));
         } catch (StoreException | UncheckedIOException e) {
             EventLog.warn("key-map-unread", "service=" + service + " reason=" + e.getMessage());
-            Thread.sleep(RETRY_DELAY_MILLIS);
+            Thread.sleep(retryDelayMillis);
+            retryDelayMillis = Math.min(2 * retryDelayMillis, MAX_RETRY_DELAY_MILLIS);
             mapActions.offer(new KeyAction.ReadMap(service));
         }
     }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/LeaseDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/LeaseDuty.java
@@ -44,6 +44,13 @@
      * milliseconds: enough for that one to take it first.
      */
     private static final long DEFERENCE_MILLIS = 300;
+    /**
+     * How many routers on equally large VMs try to take the control at once. Each attempt costs calls of the store, and
+     * only one succeeds; with three, the loss of a data centre rarely includes all of them.
+     */
+    static final int FIRST_CANDIDATES = 3;
+    /** Shortest delay until the next attempt of a router that leaves the control to others, in milliseconds. */
+    private static final long MIN_DELAY_MILLIS = 10;
     /** Delay after a failed call while this router controls the keys, in milliseconds. */
     private static final long CONTROL_RETRY_DELAY_MILLIS = 150;
     /** Delay after a failed call of another router, in milliseconds: the registration lasts for several attempts. */
@@ -68,6 +75,7 @@
     private volatile boolean isSecretMissing;
     private volatile boolean isStopping;
     private volatile double mostCores;
+    private volatile int candidateRank;
     private volatile long uncontrolledSinceNanos;
     private long registrationLease;
     private long registrationDueNanos = System.nanoTime();
@@ -111,6 +119,16 @@
         mostCores = newMostCores;
     }
 
+    /** Records how many registered routers on equally large VMs try to take the control before this one. */
+    void recordCandidateRank(int newCandidateRank) {
+        candidateRank = newCandidateRank;
+    }
+
+    /** Returns whether some router controls the keys, as far as this router knows from the store. */
+    boolean isControlled() {
+        return isControlled;
+    }
+
     /** Releases the control of the keys and does not acquire it again; the router stays registered. */
     void stop() {
         isStopping = true;
@@ -129,8 +147,9 @@
                 releaseControl();
             } else {
                 renewControl();
-                createMissingSecret();
                 acquireControl();
+                createMissingSecret();
+                delayMillis = delayMillis();
             }
         } catch (StoreException e) {
             delayMillis = isController() ? CONTROL_RETRY_DELAY_MILLIS : RETRY_DELAY_MILLIS;
@@ -170,15 +189,24 @@
         return sentNanos + (timeToLiveMillis - EXPIRY_MARGIN_MILLIS) * 1_000_000L;
     }
 
+    /** Writes the registration; it is read first only if one of an earlier process or lease is still there. */
     private void register() {
         String key = StoreKeys.router(self.routerId());
-        long expected = store.get(key).map(Item::revision).orElse(0L);
-        Change change = new Change(key, expected, entry(registrationLease), registrationLease);
-        isRegistered = store.write(change).outcome() == WriteOutcome.ACCEPTED;
+        WriteOutcome outcome = writeRegistration(key, 0);
+        if (outcome != WriteOutcome.ACCEPTED) {
+            long expected = store.get(key).map(Item::revision).orElse(0L);
+            outcome = writeRegistration(key, expected);
+        }
+        isRegistered = outcome == WriteOutcome.ACCEPTED;
         registeredNanos = System.nanoTime();
         EventLog.info("registered", "lease=" + registrationLease + " accepted=" + isRegistered);
     }
 
+    private WriteOutcome writeRegistration(String key, long expectedRevision) {
+        return store.write(new Change(key, expectedRevision, entry(registrationLease), registrationLease))
+                .outcome();
+    }
+
     private byte[] entry(long leaseId) {
         return Json.write(self.withLease(leaseId));
     }
@@ -215,13 +243,15 @@
         keyEvents.accept(new KeyEvent.LeaseLost());
     }
 
+    /** Only the controller writes the secret: the others can't connect before there is a controller anyway. */
     private void createMissingSecret() {
-        if (isControllerKnown && isSecretMissing) {
-            isSecretMissing = false;
+        if (isController() && isSecretMissing) {
             byte[] secret = new byte[SECRET_BYTES];
             new SecureRandom().nextBytes(secret);
-            store.write(new Change(
-                    StoreKeys.PEER_SECRET, 0, Json.write(HexFormat.of().formatHex(secret)), 0));
+            WriteOutcome outcome = store.write(new Change(
+                            StoreKeys.PEER_SECRET, 0, Json.write(HexFormat.of().formatHex(secret)), 0))
+                    .outcome();
+            isSecretMissing = outcome == WriteOutcome.UNKNOWN;
         }
     }
 
@@ -244,8 +274,23 @@
     }
 
     private boolean isDeferring() {
-        return self.cores() < mostCores
-                && clockNanos.getAsLong() - uncontrolledSinceNanos < DEFERENCE_MILLIS * 1_000_000L;
+        return deferenceNanos() - (clockNanos.getAsLong() - uncontrolledSinceNanos) > 0;
+    }
+
+    /** Returns how long this router leaves the control to others: to larger VMs first, then to earlier candidates. */
+    private long deferenceNanos() {
+        long millis = (self.cores() < mostCores ? DEFERENCE_MILLIS : 0)
+                + (candidateRank >= FIRST_CANDIDATES ? DEFERENCE_MILLIS : 0);
+        return millis * 1_000_000L;
+    }
+
+    /** Returns the delay until the next step: until the next renewal, or until this router may take the control. */
+    private long delayMillis() {
+        if (isController() || !isControllerKnown || isControlled) {
+            return RENEW_INTERVAL_MILLIS;
+        }
+        long remainingNanos = deferenceNanos() - (clockNanos.getAsLong() - uncontrolledSinceNanos);
+        return Math.max(MIN_DELAY_MILLIS, Math.min(RENEW_INTERVAL_MILLIS, remainingNanos / 1_000_000L + 1));
     }
 
     private boolean isHeldBy(long lease) {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -93,17 +93,22 @@
             CoordinationStore store =
                     new CountedStore(new StoreClient(loop, settings.store(), dialect.store()), metrics);
             LeaseDuty lease = createLeaseDuty(store);
+            KeyMapPollDuty polls = new KeyMapPollDuty(
+                    store,
+                    controller::isReceivingKeyMaps,
+                    lease::isControlled,
+                    blockingPut(servingEvents),
+                    System::nanoTime);
+            CoordinationStore listing = new KeyMapListingStore(store, polls::recordListed);
             FleetListeners listeners =
                     new FleetListeners(dialect.fleet(), blockingPut(servingEvents), blockingPut(keyEvents), readiness);
             try (DutyThread decisions = DutyThread.start("decisions", createServingDuty(loop, controller)::runStep);
                     DutyThread keys = DutyThread.start("keys", createKeyDuty(loop, controller)::runStep);
                     FollowedPrefix operators = followOperators(store, controller, listeners);
                     FollowedPrefix servers = followServers(store, controller, listeners);
-                    FollowedPrefix routers = followRouters(store, controller, listeners, lease);
+                    FollowedPrefix routers = followRouters(listing, controller, listeners, lease);
                     DutyThread leases = DutyThread.start("lease", lease::runStep);
-                    DutyThread polls = DutyThread.start(
-                            "key-map-polls",
-                            new KeyMapPollDuty(store, controller, blockingPut(servingEvents))::runStep);
+                    DutyThread keyMapPolls = DutyThread.start("key-map-polls", polls::runStep);
                     DutyThread maps = DutyThread.start(
                             "key-maps", new KeyMapDuty(store, mapActions, blockingPut(keyEvents))::runStep)) {
                 Optional<RatpackServer> metricsPage = startMetricsPage();
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/LeaseDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/LeaseDutyTest.java
@@ -4,8 +4,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
 import org.daisyscale.core.keys.KeyEvent;
 import org.junit.jupiter.api.Test;
 
@@ -71,6 +73,52 @@
         assertThat(store.get(StoreKeys.CONTROLLER)).isPresent();
     }
 
+    @Test
+    void shouldRegisterWithTwoCallsAtTheStart() throws InterruptedException {
+        duty.recordStoreState(true, true);
+        step(1);
+
+        assertThat(store.get(StoreKeys.router("r1"))).isPresent();
+        assertThat(store.callCount()).isEqualTo(2);
+    }
+
+    @Test
+    void shouldWriteThePeerSecretOnlyAsController() throws InterruptedException {
+        duty.recordStoreState(true, true);
+        step(1);
+        assertThat(store.get(StoreKeys.PEER_SECRET)).isEmpty();
+
+        duty.recordStoreState(false, true);
+        step(1);
+
+        assertThat(store.get(StoreKeys.PEER_SECRET)).isPresent();
+    }
+
+    /** All routers tried to take the control at once, and each attempt but one was in vain. */
+    @Test
+    void shouldLeaveTheControlToEarlierCandidatesAndTakeItWhenTheyDont() throws InterruptedException {
+        duty.recordCandidateRank(LeaseDuty.FIRST_CANDIDATES);
+        duty.recordStoreState(false, false);
+        step(1);
+        assertThat(store.get(StoreKeys.CONTROLLER)).isEmpty();
+
+        nowNanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(300));
+        step(1);
+
+        assertThat(store.get(StoreKeys.CONTROLLER)).isPresent();
+    }
+
+    @Test
+    void shouldRankRoutersOnEquallyLargeVmsWithoutTheFormerController() {
+        Map<String, Double> cores = Map.of("r1", 0.3, "r2", 0.3, "r3", 0.3, "r4", 0.3, "large", 1.5);
+
+        List<Integer> ranks = Stream.of("r1", "r2", "r3")
+                .map(id -> CandidateRank.of(id, cores, "r4"))
+                .toList();
+
+        assertThat(ranks).containsExactlyInAnyOrder(0, 1, 2);
+    }
+
     /** Guards against two controllers: the monotonic clock does not count the time of a suspension. */
     @Test
     void shouldNotTakeARenewalForValidDuringWhichTheVmWasSuspended() throws InterruptedException {
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/LeasedStore.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/LeasedStore.java
@@ -19,12 +19,18 @@
     private Runnable onRenewal = () -> {};
     private long revision;
     private long lastLease;
+    private int callCount;
 
     /** Makes each renewal run {@code action} first. */
     void onRenewal(Runnable action) {
         onRenewal = action;
     }
 
+    /** Returns the number of writes and of granted leases. */
+    int callCount() {
+        return callCount;
+    }
+
     @Override
     public Optional<Item> get(String key) {
         return Optional.ofNullable(items.get(key));
@@ -42,6 +48,7 @@
 
     @Override
     public WriteResult write(Change change) {
+        callCount++;
         long found = get(change.key()).map(Item::revision).orElse(0L);
         if (found != change.expectedRevision()) {
             return new WriteResult(WriteOutcome.REFUSED, 0);
@@ -53,6 +60,7 @@
 
     @Override
     public long grantLease(Duration timeToLive) {
+        callCount++;
         leases.add(++lastLease);
         return lastLease;
     }
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/SharedStore.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/SharedStore.java
@@ -20,6 +20,7 @@
     private final long maxWaitMillis;
     private long revision;
     private boolean isReachable = true;
+    private int callCount;
 
     /** Creates a store that ends each watch after {@code maxWaitMillis} at the latest, as a store may. */
     SharedStore(long maxWaitMillis) {
@@ -45,11 +46,23 @@
         notifyAll();
     }
 
+    /** Returns the number of calls since the last time, refused ones included. */
+    synchronized int takeCallCount() {
+        int taken = callCount;
+        callCount = 0;
+        return taken;
+    }
+
     private void record(ItemChange change) {
         history.add(change);
         notifyAll();
     }
 
+    private void startCall() {
+        callCount++;
+        checkReachable();
+    }
+
     private void checkReachable() {
         if (!isReachable) {
             throw new StoreException(StoreException.Code.UNREACHABLE, "the store is unreachable", null);
@@ -58,13 +71,13 @@
 
     @Override
     public synchronized Optional<Item> get(String key) {
-        checkReachable();
+        startCall();
         return Optional.ofNullable(itemByKey.get(key));
     }
 
     @Override
     public synchronized Listing list(String prefix) {
-        checkReachable();
+        startCall();
         List<Item> items = itemByKey.values().stream()
                 .filter(item -> item.key().startsWith(prefix))
                 .toList();
@@ -74,6 +87,7 @@
     @Override
     public synchronized Optional<Changes> watch(
             String prefix, long afterRevision, Duration wait, BooleanSupplier isOverdue) {
+        startCall();
         long endNanos = System.nanoTime() + Math.min(wait.toMillis(), maxWaitMillis) * 1_000_000L;
         List<ItemChange> changes = changesAfter(prefix, afterRevision);
         while (changes.isEmpty() && System.nanoTime() - endNanos < 0) {
