Responses that are not whole or not valid are never passed on

A status that is not three digits from 100 to 599 makes a response invalid where the status line is read, and in the older path, whose client parses the line itself, where the head is received. A response that only the end of its connection ends is not whole behind a long upload: a server that closes before it has read the request resets the connection, and on a slow link the end arrives before the reset, so a part of the body passed for a complete 200. An extra response without a length ends the call at once instead of keeping it waiting. On the product's own path an answer that names no order is not taken for the answer to the order in flight; the contract requires the order id.

--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/backend/OrderCall.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/backend/OrderCall.java
@@ -3,6 +3,9 @@
 import com.google.common.primitives.Longs;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -15,6 +18,7 @@
 import org.daisyscale.core.request.BackendOutcome;
 import org.daisyscale.core.request.Permit;
 import org.daisyscale.core.request.RequestMeta;
+import org.daisyscale.router.internal.http.ResponseRules;
 import org.daisyscale.router.internal.request.BackendAnswer;
 import org.daisyscale.router.internal.request.CallerRequest;
 import org.daisyscale.router.internal.request.EndToEndHeaders;
@@ -128,12 +132,28 @@
 
     private void receive(StreamedResponse received) {
         response = received;
-        outcomeFromHeaders = OutcomeClassifier.ofHeaders(
-                received.getHeaders(), order.permit().orderId());
+        outcomeFromHeaders = outcomeFromHeaders(received);
         body = new ByteArrayOutputStream(initialBufferBytes(received));
         received.getBody().subscribe(this);
     }
 
+    private BackendOutcome outcomeFromHeaders(StreamedResponse received) {
+        HttpHeaders headers = received.getHeaders().getNettyHeaders();
+        boolean mayBePart = ResponseRules.isEndedByClose(headers)
+                && !hasNoBody(received.getStatusCode())
+                && !ResponseRules.isWholeAtClose(request.body().length);
+        return mayBePart || !ResponseRules.isStatus(received.getStatusCode())
+                ? BackendOutcome.WRONG_ANSWER
+                : OutcomeClassifier.ofHeaders(
+                        received.getHeaders(), order.permit().orderId());
+    }
+
+    private boolean hasNoBody(int status) {
+        return status == HttpResponseStatus.NO_CONTENT.code()
+                || status == HttpResponseStatus.NOT_MODIFIED.code()
+                || request.meta().method().equals(HttpMethod.HEAD.name());
+    }
+
     private int initialBufferBytes(StreamedResponse received) {
         String contentLength =
                 Optional.ofNullable(received.getHeaders().get("Content-Length")).orElse("");
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/backend/OutcomeClassifier.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/backend/OutcomeClassifier.java
@@ -41,16 +41,12 @@
 
     /** Returns the outcome that the headers of the answer to {@code orderId} state. */
     static BackendOutcome ofHeaders(Headers headers, String orderId) {
-        String echoedOrderId = headers.get(ORDER_ID_HEADER);
-        if (echoedOrderId != null && !echoedOrderId.equals(orderId)) {
+        // An answer that names no order may be the copy of the answer to an earlier order.
+        if (!orderId.equals(headers.get(ORDER_ID_HEADER))) {
             return BackendOutcome.WRONG_ANSWER;
         }
         String notRun = headers.get(NOT_RUN_HEADER);
-        if (notRun == null) {
-            return BackendOutcome.ANSWERED;
-        }
-        // A refusal that names no order may be the copy of a refusal of an earlier order.
-        return echoedOrderId == null ? BackendOutcome.WRONG_ANSWER : ofNotRun(notRun);
+        return notRun == null ? BackendOutcome.ANSWERED : ofNotRun(notRun);
     }
 
     private static BackendOutcome ofNotRun(String value) {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/http/HttpCaller.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/http/HttpCaller.java
@@ -82,7 +82,7 @@
                 .fork()
                 .onError(reply::completeExceptionally)
                 .start((Execution execution) ->
-                        client.request(uri, fill).then(response -> reply.complete(toReply(response))));
+                        client.request(uri, fill).then(response -> reply.complete(toReply(uri, response))));
         return await(uri, reply);
     }
 
@@ -108,7 +108,11 @@
         return new HttpCallException(code, uri + ": " + reason, cause);
     }
 
-    private static HttpReply toReply(ReceivedResponse response) {
+    private static HttpReply toReply(URI uri, ReceivedResponse response) {
+        if (!ResponseRules.isStatus(response.getStatusCode())) {
+            String detail = uri + ": status is not from 100 to 599: " + response.getStatusCode();
+            throw new HttpCallException(HttpCallException.Code.NO_ANSWER, detail, null);
+        }
         return new HttpReply(response.getStatusCode(), response.getBody().getBytes());
     }
 
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpConnection.java
@@ -19,6 +19,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.daisyscale.core.serving.CarriedCalls;
+import org.daisyscale.router.internal.http.ResponseRules;
 import org.daisyscale.router.internal.request.ByteBudget;
 import org.daisyscale.router.serving.AnswerMatch;
 import org.daisyscale.router.serving.WireReply;
@@ -28,8 +29,8 @@
  * skipped. The connection is closed and never reused when bytes arrive while no call is in flight or behind a response,
  * when a response that names no request follows an earlier response, when a response or what is skipped before it is
  * too large, when the length of what must be skipped is unknown, when a response ends before the whole request was
- * sent, when it has carried as many calls as it can remember, and on any other failure. Not thread-safe; confined to
- * the thread of its event loop.
+ * sent, when only the end of the connection ends the response to a long request, when it has carried as many calls as
+ * it can remember, and on any other failure. Not thread-safe; confined to the thread of its event loop.
  */
 final class HttpConnection extends SimpleChannelInboundHandler<HttpObject> {
     /**
@@ -61,6 +62,7 @@
     private HttpCall call;
     private HttpResponse head;
     private ByteArrayOutputStream body;
+    private boolean isEndedByClose;
     private boolean isSkippingResponse;
     private long skippedBytes;
     private long receivedBytes;
@@ -69,6 +71,7 @@
     private boolean hasCarriedCall;
     private boolean hasCarriedHeadCall;
     private ByteBudget.Reservation reservation;
+    private int requestBodyBytes;
     private boolean isRequestWritten;
     private boolean isBroken;
     private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
@@ -119,6 +122,7 @@
         skippedBytes = 0;
         receivedBytes = 0;
         skippedResponses = 0;
+        requestBodyBytes = call.request().content().readableBytes();
         isRequestWritten = false;
         call.markWritten(context.channel(), !hasCarriedCall);
         hasCarriedCall = true;
@@ -160,19 +164,20 @@
             history.reportExtra(response, id(), call);
         }
         if (isSkippingResponse) {
-            skipResponse(isInformational);
+            skipResponse(response, isInformational);
         } else if (match == AnswerMatch.UNNAMED && hasSeenResponse) {
             history.reportExtra(response, id(), call);
             fail(HttpCall.Failure.SPOILED, "response names no request and may duplicate an earlier response");
         } else {
             head = response;
+            isEndedByClose = decoder.isEndedByClose(response);
             call.recordReceived(0);
             body = new ByteArrayOutputStream();
         }
         hasSeenResponse |= !isInformational;
     }
 
-    private void skipResponse(boolean isInformational) {
+    private void skipResponse(HttpResponse response, boolean isInformational) {
         skippedResponses++;
         if (skippedResponses > MAX_SKIPPED_RESPONSES) {
             fail(
@@ -180,6 +185,8 @@
                     "more than %d other responses precede the response".formatted(MAX_SKIPPED_RESPONSES));
         } else if (hasCarriedHeadCall && !isInformational) {
             fail(HttpCall.Failure.SPOILED, "a response to an earlier call may have no body in spite of its length");
+        } else if (decoder.isEndedByClose(response)) {
+            fail(HttpCall.Failure.SPOILED, "a response to another call has no length, so none can follow it");
         }
     }
 
@@ -235,12 +242,18 @@
         if (content instanceof LastHttpContent && !isBroken) {
             if (isSkippingResponse) {
                 isSkippingResponse = false;
+            } else if (head != null && isEndedByClose && !isWholeAtClose()) {
+                fail(HttpCall.Failure.SPOILED, "the end of the connection does not prove that the response is whole");
             } else if (head != null) {
                 complete();
             }
         }
     }
 
+    private boolean isWholeAtClose() {
+        return isRequestWritten && ResponseRules.isWholeAtClose(requestBodyBytes);
+    }
+
     private void appendToBody(HttpContent content) {
         int bytes = content.content().readableBytes();
         call.recordReceived(bytes);
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ResponseDecoder.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ResponseDecoder.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import org.daisyscale.router.internal.http.ResponseRules;
 
 /**
  * Decodes the responses on one connection. Unlike the decoder of Netty's client codec, it does not assume that
@@ -27,6 +28,20 @@
         this.connection = connection;
     }
 
+    /** Creates the head of a response; a status that is none makes the response invalid. */
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) {
+        if (!ResponseRules.isStatus(initialLine[1])) {
+            throw new IllegalArgumentException("status is not three digits from 100 to 599: " + initialLine[1]);
+        }
+        return super.createMessage(initialLine);
+    }
+
+    /** Returns whether {@code response} ends only when the connection does. */
+    boolean isEndedByClose(HttpResponse response) {
+        return !isContentAlwaysEmpty(response) && ResponseRules.isEndedByClose(response.headers());
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return super.isContentAlwaysEmpty(message) || connection.hasNoBody((HttpResponse) message);
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/backend/UnnamedRefusalTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/backend/UnnamedRefusalTest.java
@@ -27,6 +27,12 @@
         assertThat(outcome).isEqualTo(BackendOutcome.WRONG_ANSWER);
     }
 
+    /** Guards against the success of an earlier order that passes for that of the order in flight. */
+    @Test
+    void shouldNotBelieveAnAnswerThatDoesNotNameItsOrder() {
+        assertThat(OutcomeClassifier.ofHeaders(headers(), "order-1")).isEqualTo(BackendOutcome.WRONG_ANSWER);
+    }
+
     @Test
     void shouldBelieveARefusalThatNamesItsOrder() {
         Headers headers = headers("Daisyscale-Not-Run", "shed", "Daisyscale-Order-Id", "order-1");
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/BrokenOffResponseTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/BrokenOffResponseTest.java
@@ -18,6 +18,7 @@
 import org.daisyscale.core.serving.ServingEvent;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -101,6 +102,45 @@
         assertThat(outcomeAfterReset(HEAD, begin)).isIn(AttemptOutcome.SPOILED, AttemptOutcome.LOST);
     }
 
+    /** Guards against the report of another operator: an answer whose status was 000 reached a caller. */
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "099", "600", "999", "20", "0200", "+20", "2x0", "-10"})
+    void shouldSpoilAResponseWhoseStatusIsNotThreeDigitsFrom100To599(String status) throws Exception {
+        send(1, "a");
+        try (Socket socket = listener.accept()) {
+            readRequest(socket);
+            write(socket, "HTTP/1.1 " + status + " OK|Id: a|Content-Length: 2||ok");
+
+            assertThat(outcome()).isEqualTo(AttemptOutcome.SPOILED);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"200", "299", "404", "599"})
+    void shouldPassOnAnyStatusFrom200To599(String status) throws Exception {
+        send(1, "a");
+        try (Socket socket = listener.accept()) {
+            readRequest(socket);
+            write(socket, "HTTP/1.1 " + status + " OK|Id: a|Content-Length: 2||ok");
+
+            assertThat(outcome()).isEqualTo(AttemptOutcome.ANSWERED);
+        }
+    }
+
+    /** Guards against a call that waits for its response behind one that never ends. */
+    @Test
+    void shouldEndACallAtOnceBehindAnExtraResponseWithoutALength() throws Exception {
+        send(1, "a");
+        try (Socket socket = listener.accept()) {
+            readRequest(socket);
+            write(socket, "HTTP/1.1 200 OK|Id: b||part of a body");
+
+            assertThat(ended.poll(1, TimeUnit.SECONDS))
+                    .isNotNull()
+                    .matches(end -> end.outcome() == AttemptOutcome.SPOILED);
+        }
+    }
+
     @ParameterizedTest(name = "{0}")
     @CsvSource({
         "two different lengths, Content-Length: 2|Content-Length: 9||ok",
