A planned stop forwards no request behind an open one, and sends ready responses before its end

A request that arrives behind one that is still open on its connection was forwarded during a stop, so that the process waited for its whole grace and two forwarded requests ended without a response. No response is owed to such a request: the connection closes behind the earlier response. 500 ms before the end of the grace, a request that holds up ready responses ends with 502 so that these are sent.

--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/CallerConnections.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/CallerConnections.java
@@ -42,6 +42,12 @@
         }));
     }
 
+    /** Gives up the requests behind which ready responses wait, so that these are sent before the process ends. */
+    void giveUpBlocking() {
+        channels.forEach(channel ->
+                channel.eventLoop().execute(() -> ResponseOrder.of(channel).giveUpBlocking()));
+    }
+
     int size() {
         return channels.size();
     }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ResponseOrder.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ResponseOrder.java
@@ -15,6 +15,7 @@
 
     private final Deque<PendingResponse> pendingResponses = new ArrayDeque<>();
     private boolean isClosing;
+    private boolean isGivingUp;
 
     private ResponseOrder() {}
 
@@ -39,7 +40,27 @@
         return pendingResponses.isEmpty();
     }
 
+    /**
+     * Gives up each request from now on behind which the response to another request is ready: the process ends soon,
+     * and the ready response would end with it.
+     */
+    void giveUpBlocking() {
+        isGivingUp = true;
+        giveUpFirstIfBlocking();
+    }
+
+    private void giveUpFirstIfBlocking() {
+        PendingResponse first = pendingResponses.peekFirst();
+        if (isGivingUp
+                && first != null
+                && first.send == null
+                && pendingResponses.stream().anyMatch(pending -> pending.isPassedOn && pending.send != null)) {
+            first.giveUp.run();
+        }
+    }
+
     private void sendFirstIfReady() {
+        giveUpFirstIfBlocking();
         PendingResponse first = pendingResponses.peekFirst();
         if (first != null && first.send != null && !first.isSending && !isClosing) {
             first.isSending = true;
@@ -50,6 +71,7 @@
     /** The pending response to one request. Not thread-safe; confined to the event loop of the connection. */
     final class PendingResponse {
         private Runnable send;
+        private Runnable giveUp = () -> {};
         private boolean isSending;
         private boolean isPassedOn;
 
@@ -63,13 +85,19 @@
 
         /**
          * Records that the request is passed on to the decisions; returns false if it must not be, because an earlier
-         * response closes the connection.
+         * response closes the connection, or will close it if {@code isStopping}. A request behind the response that
+         * closes its connection was not read, and no response to it is owed.
          */
-        boolean tryPassOn() {
-            isPassedOn = !isClosing;
+        boolean tryPassOn(boolean isStopping) {
+            isPassedOn = !isClosing && !(isStopping && pendingResponses.peekFirst() != this);
             return isPassedOn;
         }
 
+        /** Sets what ends the request that was passed on with a failure; see {@link ResponseOrder#giveUpBlocking}. */
+        void onGivenUp(Runnable newGiveUp) {
+            giveUp = newGiveUp;
+        }
+
         /**
          * Makes this response, which is being sent, the last one of its connection; returns false if it can't be,
          * because a request behind it was passed on.
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -57,6 +57,9 @@
     private static final long CHANGE_BATCH_MILLIS = 200;
 
     private static final long STOP_CHECK_MILLIS = 50;
+    /** Time before the end of a stop for sending responses that wait behind others, in milliseconds. */
+    private static final long DELIVERY_MILLIS = 500;
+
     private static final String METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8";
 
     private final ServingRouterSettings settings;
@@ -255,6 +258,9 @@
                 connections.startRejecting();
                 connections.closeIdle();
             }
+            if (elapsedMillis >= settings.stopMillis() - DELIVERY_MILLIS) {
+                connections.giveUpBlocking();
+            }
             isDone = elapsedMillis >= settings.stopMillis()
                     || (elapsedMillis > BALANCER_GRACE_MILLIS + STOP_CHECK_MILLIS
                             && exchanges.size() == 0
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingHandler.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingHandler.java
@@ -125,13 +125,14 @@
             Channel channel,
             ResponseOrder.PendingResponse response,
             long arrivedNanos) {
-        if (connections.isRejecting() || !response.tryPassOn()) {
+        if (connections.isRejecting() || !response.tryPassOn(connections.isClosing())) {
             return Promise.value(rejectedAsStopping(requestId));
         }
         ChannelFutureListener onClosed = closed -> handleCallerLeft(requestId);
         return Promise.<Exchange.Outcome>async(downstream -> {
                     Exchange exchange = createExchange(request, requestId, body, downstream::success);
                     exchanges.add(exchange);
+                    response.onGivenUp(() -> giveUp(exchange));
                     channel.closeFuture().addListener(onClosed);
                     if (!events.offer(arrival(exchange, arrivedNanos))) {
                         metrics.ringFull(events.name());
@@ -169,6 +170,13 @@
         }
     }
 
+    /** Ends a request whose response others wait for while the process ends; it may have run. */
+    private void giveUp(Exchange exchange) {
+        handleCallerLeft(exchange.requestId());
+        exchange.end(new Exchange.Outcome.Rejected(new ServingAction.Reject(
+                exchange.requestId(), CoreErrorCode.OUTCOME_UNKNOWN, "the router stops before the response", 0)));
+    }
+
     private static Exchange.Outcome rejectedAsStopping(long requestId) {
         return rejected(requestId, CoreErrorCode.STOPPING, "another router is ready");
     }
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/PipelinedRequestsTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/PipelinedRequestsTest.java
@@ -114,6 +114,73 @@
         }
     }
 
+    /** Guards against a process that waits for such a request, whose response can't be sent before the earlier one. */
+    @Test
+    void shouldNotPassOnARequestBehindOneThatIsStillOpenDuringAStop() throws Exception {
+        try (Socket caller = connect()) {
+            send(caller, "/first");
+            Exchange first = awaitPassedOn();
+            connections.startClosing();
+
+            send(caller, "/second", "/third");
+
+            assertThat(events.poll(NOTHING_MORE)).isEmpty();
+            answer(first, 0);
+            assertThat(readToEnd(caller))
+                    .containsSubsequence("200 OK", "connection: close", "/first")
+                    .doesNotContain("/second", "/third", "503");
+        }
+    }
+
+    @Test
+    void shouldPassOnTheFirstRequestOfAConnectionDuringAStop() throws Exception {
+        try (Socket caller = connect()) {
+            connections.startClosing();
+            send(caller, "/first");
+            answer(awaitPassedOn(), 0);
+
+            assertThat(readToEnd(caller)).containsSubsequence("200 OK", "/first");
+        }
+    }
+
+    /** Guards against responses that are ready and lost because the process ends before an earlier one is. */
+    @Test
+    void shouldSendReadyResponsesBehindALongerOneBeforeTheProcessEnds() throws Exception {
+        try (Socket caller = connect()) {
+            send(caller, "/first", "/second", "/third", "/fourth");
+            awaitPassedOn();
+            Exchange second = awaitPassedOn();
+            awaitPassedOn();
+            Exchange fourth = awaitPassedOn();
+            connections.startClosing();
+            answer(second, 0);
+            Thread.sleep(NOTHING_MORE.toMillis());
+
+            connections.giveUpBlocking();
+            Thread.sleep(NOTHING_MORE.toMillis());
+            answer(fourth, 0);
+
+            assertThat(readToEnd(caller)).containsSubsequence("502", "200 OK", "/second", "502", "200 OK", "/fourth");
+        }
+    }
+
+    @Test
+    void shouldNotGiveUpARequestBehindWhichNoResponseIsReady() throws Exception {
+        try (Socket caller = connect()) {
+            send(caller, "/first", "/second");
+            Exchange first = awaitPassedOn();
+            Exchange second = awaitPassedOn();
+            connections.startClosing();
+
+            connections.giveUpBlocking();
+            Thread.sleep(NOTHING_MORE.toMillis());
+            answer(first, 0);
+            answer(second, 0);
+
+            assertThat(readToEnd(caller)).containsSubsequence("200 OK", "/first", "200 OK", "/second");
+        }
+    }
+
     /** Reads the path only. */
     private static final class PathDialect implements CallerDialect {
 
