Memory for callers and backend servers follows from the heap and the VM's memory

The budgets of 80 MB and 24 MB were constants, and a response was counted only while it was received, so that callers that read nothing could fill the heap of 160 MB. Responses count until their caller has read them. A connection with more than 32 requests without a sent response, or with an eighth of the budget in unread responses, has further requests rejected as not run; above the budget all new requests are. Store calls are counted by kind.

--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/request/ByteBudget.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/request/ByteBudget.java
@@ -26,6 +26,12 @@
         return Optional.of(new Reservation(bytes));
     }
 
+    /** Reserves {@code bytes} that the router already holds; may exceed the limit. */
+    public Reservation reserveHeld(long bytes) {
+        usedBytes.addAndGet(bytes);
+        return new Reservation(bytes);
+    }
+
     /** Returns the number of bytes currently reserved. */
     public long usedBytes() {
         return usedBytes.get();
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/CountedStore.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/CountedStore.java
@@ -5,7 +5,7 @@
 import java.util.function.BooleanSupplier;
 import org.daisyscale.core.platform.CoordinationStore;
 
-/** A store that counts the listings and watches that are started, by prefix. Thread-safe. */
+/** A store that counts the calls that are started, listings and watches by prefix. Thread-safe. */
 final class CountedStore implements CoordinationStore {
     private final CoordinationStore store;
     private final ServingMetrics metrics;
@@ -17,6 +17,7 @@
 
     @Override
     public Optional<Item> get(String key) {
+        metrics.storeCall("get");
         return store.get(key);
     }
 
@@ -34,21 +35,25 @@
 
     @Override
     public WriteResult write(Change change) {
+        metrics.storeCall("write");
         return store.write(change);
     }
 
     @Override
     public long grantLease(Duration timeToLive) {
+        metrics.storeCall("lease");
         return store.grantLease(timeToLive);
     }
 
     @Override
     public boolean renewLease(long leaseId) {
+        metrics.storeCall("renewal");
         return store.renewLease(leaseId);
     }
 
     @Override
     public void endLease(long leaseId) {
+        metrics.storeCall("lease");
         store.endLease(leaseId);
     }
 }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpLoop.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpLoop.java
@@ -38,24 +38,19 @@
     /** Interval between sweeps for stale connections, in milliseconds. */
     private static final long SWEEP_MILLIS = 1_000;
 
-    /**
-     * Limit of all buffered responses together, in bytes: a seventh of the heap, because a complete response is copied
-     * once.
-     */
-    private static final long RESPONSE_BUDGET_BYTES = 24L << 20;
-
     private static final long CLOSE_TIMEOUT_MILLIS = 500;
 
     private final ExtraResponseListener extraResponses;
     private final NioEventLoopGroup group;
     private final EventLoop loop;
     private final Bootstrap bootstrap;
-    private final ByteBudget responseBytes = new ByteBudget(RESPONSE_BUDGET_BYTES);
+    private final ByteBudget responseBytes;
     private final Map<Address, ConnectionPool> poolByAddress = new HashMap<>();
     private final Map<Address, PinnedConnection> pinnedByAddress = new HashMap<>();
 
-    private HttpLoop(String threadName, ExtraResponseListener extraResponses) {
+    private HttpLoop(String threadName, ExtraResponseListener extraResponses, long responseBudgetBytes) {
         this.extraResponses = extraResponses;
+        this.responseBytes = new ByteBudget(responseBudgetBytes);
         this.group = new NioEventLoopGroup(1, task -> {
             Thread thread = new FastThreadLocalThread(task, threadName);
             thread.setDaemon(true);
@@ -81,7 +76,13 @@
 
     /** Starts the event loop as above; {@code extraResponses} receives the responses that no call was waiting for. */
     static HttpLoop start(String threadName, ExtraResponseListener extraResponses) {
-        HttpLoop httpLoop = new HttpLoop(threadName, extraResponses);
+        MemoryShares shares = MemoryShares.of(0, Runtime.getRuntime().maxMemory());
+        return start(threadName, extraResponses, shares.backendBytes());
+    }
+
+    /** Starts the event loop as above; all buffered responses together take at most {@code responseBudgetBytes}. */
+    static HttpLoop start(String threadName, ExtraResponseListener extraResponses, long responseBudgetBytes) {
+        HttpLoop httpLoop = new HttpLoop(threadName, extraResponses, responseBudgetBytes);
         httpLoop.loop.scheduleWithFixedDelay(httpLoop::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
         return httpLoop;
     }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ResponseOrder.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ResponseOrder.java
@@ -11,9 +11,16 @@
  * not read, and so as not run. Not thread-safe; confined to the event loop of the connection.
  */
 final class ResponseOrder {
+    /**
+     * Limit of the requests of one connection without a sent response. A caller that reads no responses would otherwise
+     * fill the router with those to all requests that one read of its connection returned.
+     */
+    static final int MAX_PENDING = 32;
+
     private static final AttributeKey<ResponseOrder> KEY = AttributeKey.valueOf("daisyscale.answerOrder");
 
     private final Deque<PendingResponse> pendingResponses = new ArrayDeque<>();
+    private long heldBytes;
     private boolean isClosing;
     private boolean isGivingUp;
 
@@ -36,6 +43,14 @@
         return response;
     }
 
+    /**
+     * Returns whether this connection may have no further request passed on: it has too many without a sent response,
+     * or more than {@code maxHeldBytes} of responses wait for the caller to read them.
+     */
+    boolean isFull(long maxHeldBytes) {
+        return pendingResponses.size() > MAX_PENDING || heldBytes > maxHeldBytes;
+    }
+
     boolean isIdle() {
         return pendingResponses.isEmpty();
     }
@@ -74,9 +89,16 @@
         private Runnable giveUp = () -> {};
         private boolean isSending;
         private boolean isPassedOn;
+        private long ownHeldBytes;
 
         private PendingResponse() {}
 
+        /** Records that the response is ready with a body of {@code bytes}, which are held until it is sent. */
+        void hold(long bytes) {
+            ownHeldBytes = bytes;
+            heldBytes += bytes;
+        }
+
         /** Runs {@code newSend} once all earlier responses have been sent. */
         void sendInOrder(Runnable newSend) {
             send = newSend;
@@ -110,6 +132,8 @@
         /** Records that the response was sent, and sends the next one. */
         void complete() {
             pendingResponses.remove(this);
+            heldBytes -= ownHeldBytes;
+            ownHeldBytes = 0;
             sendFirstIfReady();
         }
     }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -39,11 +39,6 @@
     /** Capacity of the ring of each duty that follows the store; a lost event is made up for, see ViewFollower. */
     private static final int FOLLOW_RING_CAPACITY = 256;
 
-    /**
-     * Limit of all buffered request bodies together, in bytes: a quarter of the memory that a router gets on the
-     * smallest VM.
-     */
-    private static final long BODY_BUDGET_BYTES = 80L << 20;
     /**
      * How long the balancer may still send new connections after this router stops being ready, in milliseconds: two
      * health checks.
@@ -64,6 +59,7 @@
 
     private final ServingRouterSettings settings;
     private final PlatformDialect dialect;
+    private final MemoryShares memory;
     private final ServingMetrics metrics = new ServingMetrics();
     private final Readiness readiness = new Readiness();
     private final ExchangeRegistry exchanges = new ExchangeRegistry();
@@ -76,6 +72,7 @@
     public ServingAssembly(ServingRouterSettings settings, PlatformDialect dialect) {
         this.settings = settings;
         this.dialect = dialect;
+        this.memory = MemoryShares.of(settings.memoryMb(), Runtime.getRuntime().maxMemory());
         metrics.registerOpenRequests(exchanges::size);
         metrics.registerRingDepth(servingEvents);
         metrics.registerRingDepth(keyEvents);
@@ -86,7 +83,7 @@
         RatpackServer ready = HttpServers.start(settings.readiness(), this::answerReadiness);
         RatpackServer callers = HttpServers.start(settings.callers(), createCallerHandler());
         EventLog.info("started", "router=" + settings.serving().routerId() + " settings=" + settings);
-        try (HttpLoop loop = HttpLoop.start("calls", this::reportExtraResponse);
+        try (HttpLoop loop = HttpLoop.start("calls", this::reportExtraResponse, memory.backendBytes());
                 ControllerLink controller = new ControllerLink(
                         settings.serving().routerId(),
                         settings.peers(),
@@ -154,8 +151,9 @@
     }
 
     private ServingHandler createCallerHandler() {
-        return new ServingHandler(
-                dialect.callers(), servingEvents, exchanges, connections, new ByteBudget(BODY_BUDGET_BYTES), metrics);
+        ByteBudget budget = new ByteBudget(memory.callerBytes());
+        metrics.registerCallerBytes(budget);
+        return new ServingHandler(dialect.callers(), servingEvents, exchanges, connections, budget, metrics);
     }
 
     private ServingDuty createServingDuty(HttpLoop loop, ControllerLink controller) {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingHandler.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingHandler.java
@@ -34,6 +34,8 @@
      * have left already, and the close is read only in the turn after the request.
      */
     private static final long LARGE_LAG_MILLIS = 100;
+    /** Part of the budget that the responses which one connection did not read may take. */
+    private static final long CONNECTION_SHARE = 8;
     /** Delay until the next turn of an event loop, in milliseconds. */
     private static final long NEXT_TURN_MILLIS = 1;
 
@@ -81,6 +83,11 @@
             respond(context, response, rejectedAsStopping(requestId));
             return;
         }
+        if (ResponseOrder.of(channel).isFull(budget.limitBytes() / CONNECTION_SHARE)) {
+            metrics.callerFull();
+            respond(context, response, rejected(requestId, CoreErrorCode.OVERLOADED, "the caller reads no responses"));
+            return;
+        }
         long maxBodyBytes = exchanges.maxBodyBytes();
         context.getRequest()
                 .getBody(
@@ -95,7 +102,10 @@
                             0, body.length - Math.max(0, context.getRequest().getContentLength())));
                     return decide(context.getRequest(), requestId, body, channel, response);
                 })
-                .flatMap(outcome -> awaitTurn(response, outcome))
+                .flatMap(outcome -> {
+                    hold(context, response, outcome);
+                    return awaitTurn(response, outcome);
+                })
                 .then(outcome -> write(context, response, outcome));
     }
 
@@ -185,6 +195,16 @@
         return new Exchange.Outcome.Rejected(new ServingAction.Reject(requestId, reason, detail, RETRY_AFTER_MILLIS));
     }
 
+    /** Counts the body of a ready response until its caller has read it, or has left. */
+    private void hold(Context context, ResponseOrder.PendingResponse response, Exchange.Outcome outcome) {
+        if (outcome instanceof Exchange.Outcome.Answered answered) {
+            long bytes = answered.reply().body().length;
+            ByteBudget.Reservation held = budget.reserveHeld(bytes);
+            response.hold(bytes);
+            context.onClose(closed -> held.close());
+        }
+    }
+
     private void respond(Context context, ResponseOrder.PendingResponse response, Exchange.Outcome outcome) {
         awaitTurn(response, outcome).then(ready -> write(context, response, ready));
     }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingMetrics.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingMetrics.java
@@ -14,6 +14,7 @@
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
 import org.daisyscale.core.following.UpdateResult;
+import org.daisyscale.router.internal.request.ByteBudget;
 import org.daisyscale.router.internal.ring.Ring;
 
 /** The metrics of a router that assigns requests to backend servers itself. Thread-safe. */
@@ -30,6 +31,8 @@
     private final Counter extraResponses;
     private final Counter controllerUpdates;
     private final Counter storeReads;
+    private final Counter storeCalls;
+    private final Counter unreadResponses;
     private final AtomicLong configurationVersion = new AtomicLong();
     private final Map<String, LongSupplier> viewAgeByPrefix = new ConcurrentHashMap<>();
 
@@ -47,6 +50,10 @@
                 "result");
         storeReads =
                 counter("daisyscale_serving_store_reads", "Reads of the store that were started", "prefix", "kind");
+        storeCalls = counter("daisyscale_serving_store_calls", "Calls of the store that were started", "kind");
+        unreadResponses = counter(
+                "daisyscale_serving_unread_rejections",
+                "Requests rejected because their caller does not read the responses on its connection");
         registerGauge(
                 "daisyscale_serving_configuration_version",
                 "Version of the configuration in force at this router; 0 before there is one",
@@ -101,6 +108,29 @@
     /** Records that a read of the items under {@code prefix} was started; {@code kind} is list or watch. */
     void storeRead(String prefix, String kind) {
         storeReads.labelValues(prefix, kind).inc();
+        storeCall(kind);
+    }
+
+    /** Records that a call of the store was started, whatever becomes of it. */
+    void storeCall(String kind) {
+        storeCalls.labelValues(kind).inc();
+    }
+
+    /** Records that a request was rejected because its caller does not read the responses on its connection. */
+    void callerFull() {
+        unreadResponses.inc();
+    }
+
+    /** Registers the bytes that {@code budget} holds for callers. */
+    void registerCallerBytes(ByteBudget budget) {
+        registerGauge(
+                "daisyscale_serving_caller_bytes",
+                "Bytes of request bodies, and of responses until their callers read them",
+                budget::usedBytes);
+        registerGauge(
+                "daisyscale_serving_caller_bytes_limit",
+                "Bytes for callers above which requests are rejected",
+                budget::limitBytes);
     }
 
     /** Records that the configuration {@code version} is in force. */
--- a/daisyscale-router/src/main/java/org/daisyscale/router/serving/ServingRouterSettings.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/serving/ServingRouterSettings.java
@@ -15,6 +15,7 @@
  * @param store the address of the platform's store
  * @param stopMillis the time between the request to stop and the end of the process, in milliseconds
  * @param cores the processor share of the router's VM, in cores
+ * @param memoryMb the memory of the router's VM, in megabytes; 0 if the settings don't state it
  */
 public record ServingRouterSettings(
         ServingSettings serving,
@@ -25,7 +26,8 @@
         Address peers,
         Address store,
         long stopMillis,
-        double cores) {
+        double cores,
+        long memoryMb) {
 
     /** An IP address and a port. Immutable. */
     public record Address(String host, int port) {}
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ServingMetricsTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ServingMetricsTest.java
@@ -15,6 +15,7 @@
 import java.util.stream.Collectors;
 import org.daisyscale.core.following.UpdateResult;
 import org.daisyscale.core.platform.CoordinationStore;
+import org.daisyscale.router.internal.request.ByteBudget;
 import org.daisyscale.router.internal.ring.ArrayRing;
 import org.daisyscale.router.serving.StoreException;
 import org.junit.jupiter.api.Test;
@@ -89,6 +90,8 @@
         metrics.extraResponse(ExtraResponse.Kind.COPY);
         metrics.controllerUpdate("op/", UpdateResult.APPLIED);
         metrics.storeRead("op/", "list");
+        metrics.callerFull();
+        metrics.registerCallerBytes(new ByteBudget(1));
         metrics.registerViewAge("op/", () -> 40);
         metrics.registerOpenRequests(() -> 1);
         metrics.registerRingDepth(new ArrayRing<>("decisions", 4));
