--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpLoop.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpLoop.java
@@ -76,8 +76,7 @@
 
     /** Starts the event loop as above; {@code extraResponses} receives the responses that no call was waiting for. */
     static HttpLoop start(String threadName, ExtraResponseListener extraResponses) {
-        MemoryShares shares = MemoryShares.of(0, Runtime.getRuntime().maxMemory());
-        return start(threadName, extraResponses, shares.backendBytes());
+        return start(threadName, extraResponses, MemoryShares.ofThisProcess(0).backendBytes());
     }
 
     /** Starts the event loop as above; all buffered responses together take at most {@code responseBudgetBytes}. */
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/MemoryShares.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/MemoryShares.java
@@ -1,5 +1,7 @@
 package org.daisyscale.router.internal.serving;
 
+import java.lang.management.ManagementFactory;
+
 /**
  * The parts of a router's memory that bodies may take. Immutable.
  *
@@ -14,6 +16,13 @@
     /** Part of the heap for backend servers: a complete response is copied once. */
     private static final double BACKEND_FRACTION = 0.15;
 
+    /** Returns the shares of a router on a VM with {@code vmMemoryMb}, by the limit of this process's heap. */
+    static MemoryShares ofThisProcess(long vmMemoryMb) {
+        return of(
+                vmMemoryMb,
+                ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getMax());
+    }
+
     /**
      * Returns the shares of a router.
      *
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -72,7 +72,7 @@
     public ServingAssembly(ServingRouterSettings settings, PlatformDialect dialect) {
         this.settings = settings;
         this.dialect = dialect;
-        this.memory = MemoryShares.of(settings.memoryMb(), Runtime.getRuntime().maxMemory());
+        this.memory = MemoryShares.ofThisProcess(settings.memoryMb());
         metrics.registerOpenRequests(exchanges::size);
         metrics.registerRingDepth(servingEvents);
         metrics.registerRingDepth(keyEvents);
