--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewFollower.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewFollower.java
@@ -257,7 +257,8 @@
         }
         boolean isOld = nowNanos - overdueNanos() >= 0 && nowNanos - reads.againNanos(READ_AGAIN_MILLIS) >= 0;
         boolean isNeeded = isOld || (!isKnown && !reads.isPending());
-        return isNeeded && reads.mayStart(nowNanos) ? Optional.of(list(Reason.CONTROLLER_AHEAD)) : Optional.empty();
+        Reason reason = isTold(nowNanos) ? Reason.CONTROLLER_AHEAD : Reason.CONTROLLER_SILENT;
+        return isNeeded && reads.mayStart(nowNanos) ? Optional.of(list(reason)) : Optional.empty();
     }
 
     private Optional<ReadRequest> readAlone(boolean isController, long nowNanos) {
