--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/ColdStartLimiter.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/ColdStartLimiter.java
@@ -66,18 +66,26 @@
      */
     static int quota(String serverId, ServiceRules rules, ServingSettings settings, Set<String> routerIds) {
         double limit = rules.coldRequestsPerSecond() * settings.coldBurstFactor() + settings.coldSlackRequests();
-        int totalQuota = (int) Math.floor(limit * USED_FRACTION);
+        return share(serverId, (int) Math.floor(limit * USED_FRACTION), settings.routerId(), routerIds);
+    }
+
+    /**
+     * Returns the share of the router {@code ownId} in {@code total} for {@code subject}. The shares of all routers add
+     * up to the total. The remainder of the division goes to the routers that rank first, and the ranking differs from
+     * subject to subject.
+     */
+    static int share(String subject, int total, String ownId, Set<String> routerIds) {
         int routerCount = routerIds.size();
-        int ownRank = rank(serverId, settings.routerId());
+        int ownRank = rank(subject, ownId);
         int rankedBefore = (int) routerIds.stream()
-                .filter(routerId -> !routerId.equals(settings.routerId()))
-                .filter(routerId -> ranksBefore(rank(serverId, routerId), routerId, ownRank, settings.routerId()))
+                .filter(routerId -> !routerId.equals(ownId))
+                .filter(routerId -> ranksBefore(rank(subject, routerId), routerId, ownRank, ownId))
                 .count();
-        return (totalQuota + routerCount - 1 - rankedBefore) / routerCount;
+        return (total + routerCount - 1 - rankedBefore) / routerCount;
     }
 
-    private static int rank(String serverId, String routerId) {
-        return (serverId + '/' + routerId).hashCode() * 0x9E3779B1;
+    private static int rank(String subject, String routerId) {
+        return (subject + '/' + routerId).hashCode() * 0x9E3779B1;
     }
 
     private static boolean ranksBefore(int rank, String routerId, int ownRank, String ownId) {
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/DirectRequestRouter.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/DirectRequestRouter.java
@@ -33,6 +33,10 @@
             coordinator.handleHealth(reported, nowNanos);
         } else if (event instanceof ServingEvent.NewsReceived received) {
             coordinator.handleNews(received.news(), nowNanos);
+        } else if (event instanceof ServingEvent.QuotaGranted granted) {
+            coordinator.handleGrant(granted.grant(), nowNanos);
+        } else if (event instanceof ServingEvent.Suspended) {
+            coordinator.handleSuspension(nowNanos);
         } else {
             applyUpdate(event, nowNanos);
         }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/OpenRequest.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/OpenRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.daisyscale.core.serving.CallerIdentity;
 import org.daisyscale.core.serving.Organisation;
@@ -23,6 +24,7 @@
     private ServerView currentServer;
     private int attemptCount;
     private boolean mayHaveRun;
+    private OptionalLong creditExpiryNanos = OptionalLong.empty();
     private ServerView notOwner;
     private long notOwnerNanos;
 
@@ -127,6 +129,16 @@
         currentServer = null;
     }
 
+    /** Records the credit of the attempt that follows, by its expiry; empty if it needs none. */
+    void setCredit(OptionalLong expiryNanos) {
+        creditExpiryNanos = expiryNanos;
+    }
+
+    /** Returns the expiry of the credit of the latest attempt, by the monotonic clock; empty if it needs none. */
+    OptionalLong creditExpiryNanos() {
+        return creditExpiryNanos;
+    }
+
     /** Records that the server of the attempt in flight rejected the request as not the owner of its key. */
     void recordNotOwner(long nowNanos) {
         notOwner = currentServer;
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
@@ -9,6 +9,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.daisyscale.core.error.CoreErrorCode;
 import org.daisyscale.core.internal.serving.RequestTimers.Purpose;
+import org.daisyscale.core.quota.QuotaGrant;
 import org.daisyscale.core.serving.AttemptOutcome;
 import org.daisyscale.core.serving.BackendServer;
 import org.daisyscale.core.serving.FleetNews;
@@ -28,8 +29,6 @@
  * <p>Not thread-safe; confined to the core thread.
  */
 final class RequestCoordinator {
-    /** Timeout of a caller that states none, in milliseconds; the route's timeout is usually shorter. */
-    private static final long DEFAULT_CALLER_TIMEOUT_MILLIS = 10_000;
     /** Margin between the final answer and the caller's timeout, in milliseconds; covers the way to the caller. */
     private static final long REPLY_MARGIN_MILLIS = 30;
     /** Retry-after advice of a router that has just started, in milliseconds; by then it has a configuration. */
@@ -41,16 +40,9 @@
     private static final long UNCERTAIN_RETRY_AFTER_MILLIS = 700;
     /** Maximum wait for a server, as a fraction of the latency objective. */
     private static final double MAX_WAIT_FRACTION = 0.5;
-    /** Time after which callers give up a request that is not read yet, in milliseconds; fixed by the platform. */
-    private static final double MAX_UNREAD_MILLIS = 1_000;
-    /** Fraction of their timeout after which callers give up a request that is not read yet; fixed by the platform. */
-    private static final double MAX_UNREAD_FRACTION = 1.0 / 3;
     /** Jitter added to retry-after advice, in milliseconds, so that callers rejected together don't retry together. */
     private static final long RETRY_AFTER_JITTER_MILLIS = 150;
 
-    /** Retry-after advice after a server with room shed the request, in milliseconds: waiting does not help. */
-    private static final long SHED_RETRY_AFTER_MILLIS = 20;
-
     private final FleetView fleet;
     private final UniformRandomProvider random;
     private final Placer pooledPlacer;
@@ -62,6 +54,7 @@
     private final HealthChecks healthChecks;
     private final LostRequests lostRequests = new LostRequests();
     private final KeyLoadRecorder keyLoadRecorder;
+    private final AllowanceGate allowances;
     private final Map<Long, OpenRequest> openById = new HashMap<>();
     private List<ServingAction> actions = new ArrayList<>();
 
@@ -74,6 +67,7 @@
         this.retryBudget = new RetryBudget(fleet.settings());
         this.retryPolicy = new RetryPolicy(fleet, retryBudget, lostRequests);
         this.keyLoadRecorder = new KeyLoadRecorder(fleet);
+        this.allowances = new AllowanceGate(fleet);
     }
 
     List<ServingAction> drainActions() {
@@ -83,7 +77,7 @@
     }
 
     long nextDueNanos() {
-        return Math.min(timers.nextDueNanos(), keyLoadRecorder.nextDueNanos());
+        return Math.min(allowances.nextDueNanos(), Math.min(timers.nextDueNanos(), keyLoadRecorder.nextDueNanos()));
     }
 
     /** Handles what another router saw. */
@@ -97,6 +91,19 @@
         actions.addAll(healthChecks.handleReport(reported.server(), reported.report(), nowNanos));
     }
 
+    /** Handles credits for requests of organisations; the requests that waited for them are placed again. */
+    void handleGrant(QuotaGrant grant, long nowNanos) {
+        allowances
+                .handle(grant, nowNanos)
+                .forEach(requestId ->
+                        Optional.ofNullable(openById.get(requestId)).ifPresent(request -> place(request, nowNanos)));
+        allowances.requestMissing(grant, nowNanos);
+    }
+
+    void handleSuspension(long nowNanos) {
+        allowances.handleSuspension(nowNanos);
+    }
+
     void handleTableChanged(RoutingTable table) {
         splitter.clear();
         String detail = "version=%d routes=%d openRequests=%d"
@@ -136,7 +143,7 @@
             return;
         }
         long waitedMillis = Math.max(0, (nowNanos - arrived.arrivedNanos()) / 1_000_000L);
-        if (waitedMillis >= maxUnreadMillis(head)) {
+        if (waitedMillis >= CallerTimeouts.maxUnreadMillis(head)) {
             String detail =
                     "the router is overloaded: it read the request %d ms after its arrival".formatted(waitedMillis);
             reject(requestId, CoreErrorCode.OVERLOADED, detail, RETRY_AFTER_JITTER_MILLIS);
@@ -168,19 +175,10 @@
                 configuration.describe(nowNanos)));
     }
 
-    private static long callerTimeoutMillis(RequestHead head) {
-        return head.timeLeftMillis() > 0 ? head.timeLeftMillis() : DEFAULT_CALLER_TIMEOUT_MILLIS;
-    }
-
-    /** Returns the time after which the caller gives up a request that is not read yet, in milliseconds. */
-    private static double maxUnreadMillis(RequestHead head) {
-        return Math.min(MAX_UNREAD_MILLIS, callerTimeoutMillis(head) * MAX_UNREAD_FRACTION);
-    }
-
     private void open(ServingEvent.RequestArrived arrived, Route route, Caller caller, long nowNanos) {
         long requestId = arrived.requestId();
         RequestHead head = arrived.head();
-        long callerTimeoutMillis = callerTimeoutMillis(head);
+        long callerTimeoutMillis = CallerTimeouts.timeoutMillis(head);
         long timeoutMillis = Math.min(callerTimeoutMillis - REPLY_MARGIN_MILLIS, route.timeoutMillis());
         String service = splitter.next(route);
         OpenRequest request = new OpenRequest(
@@ -237,8 +235,13 @@
             rejectOpen(request, rejection.get());
             return;
         }
+        Optional<Placement> refusal = allowances.admit(request, nowNanos);
+        if (refusal.isPresent()) {
+            postponeOrReject(request, refusal.get());
+            return;
+        }
         if (view.coldStartLimiter().isCold(nowNanos)) {
-            reportColdSend(request, view, nowNanos);
+            actions.add(ColdStartReports.create(request, view, fleet, nowNanos));
         }
         request.startAttempt(view, nowNanos);
         actions.add(new ServingAction.SendAttempt(
@@ -250,20 +253,6 @@
         healthChecks.onSent(view, nowNanos).ifPresent(actions::add);
     }
 
-    private void reportColdSend(OpenRequest request, ServerView view, long nowNanos) {
-        String detail = "requestId=%s server=%s address=%s:%d sentBefore=%d share=%d routers=%d coldLeftMillis=%d"
-                .formatted(
-                        request.head().logId(),
-                        view.server().id(),
-                        view.server().host(),
-                        view.server().port(),
-                        view.coldStartLimiter().sentCount(nowNanos),
-                        fleet.coldQuota(view, nowNanos),
-                        fleet.routerCount(nowNanos),
-                        view.coldStartLimiter().coldLeftMillis(nowNanos));
-        actions.add(new ServingAction.Report("cold-server-request", detail));
-    }
-
     private void waitOrReject(OpenRequest request, Placement.Wait wait, long nowNanos) {
         long retryMillis = Math.max(1, (wait.retryNanos() - nowNanos) / 1_000_000L);
         double maxWaitMillis = request.route().targetLatencyMillis() * MAX_WAIT_FRACTION;
@@ -279,6 +268,14 @@
         }
     }
 
+    private void postponeOrReject(OpenRequest request, Placement refusal) {
+        if (refusal instanceof Placement.Wait wait) {
+            timers.schedule(wait.retryNanos(), request.requestId(), Purpose.PLACE);
+        } else if (refusal instanceof Placement.Reject rejection) {
+            rejectOpen(request, rejection);
+        }
+    }
+
     void handleAttemptEnded(ServingEvent.AttemptEnded ended, long nowNanos) {
         OpenRequest request = openById.get(ended.requestId());
         if (request == null || request.attemptCount() != ended.attempt() || request.currentServer() == null) {
@@ -293,10 +290,12 @@
             request.recordNotOwner(nowNanos);
         }
         request.endAttempt(outcome.mayHaveRun(), outcome.reachedServer());
+        allowances.recordEnd(request, outcome, nowNanos);
         actions.addAll(lostRequests.recordEnd(request, server, outcome, nowNanos));
         if (outcome == AttemptOutcome.ANSWERED) {
             deliver(request);
-        } else if (retryPolicy.mayRetry(request, ended, isKeyed(request), nowNanos)) {
+        } else if (allowances.mayRepeat(request, nowNanos)
+                && retryPolicy.mayRetry(request, ended, isKeyed(request), nowNanos)) {
             place(request, nowNanos);
         } else {
             endAfterFailure(request, ended, server.id());
@@ -304,30 +303,26 @@
     }
 
     private void endAfterFailure(OpenRequest request, ServingEvent.AttemptEnded ended, String serverId) {
-        AttemptOutcome outcome = ended.outcome();
-        if (outcome == AttemptOutcome.FAILED) {
+        if (ended.outcome() == AttemptOutcome.FAILED) {
             deliver(request);
             return;
         }
-        String detail = "server=" + serverId + " outcome=" + outcome + " attempts=" + request.attemptCount();
-        if (outcome == AttemptOutcome.EXPIRED) {
-            rejectOpen(request, new Placement.Reject(CoreErrorCode.OVERLOADED, detail, RETRY_AFTER_JITTER_MILLIS));
-            return;
-        }
-        long usualMillis = RetryPolicy.isShedAtRandom(ended) ? SHED_RETRY_AFTER_MILLIS : RETRY_AFTER_JITTER_MILLIS;
-        long retryAfterMillis =
-                isKeyed(request) ? Math.max(usualMillis, ended.notice().pauseMillis()) : usualMillis;
-        rejectOpen(request, new Placement.Reject(CoreErrorCode.REFUSED_BY_SERVER, detail, retryAfterMillis));
+        rejectOpen(request, FailedAttempts.rejection(request, ended, serverId, isKeyed(request)));
     }
 
     private void deliver(OpenRequest request) {
-        openById.remove(request.requestId());
+        close(request);
         actions.add(new ServingAction.Deliver(request.requestId(), request.attemptCount()));
     }
 
+    private void close(OpenRequest request) {
+        openById.remove(request.requestId());
+        allowances.forget(request);
+    }
+
     /** Rejects an open request; the outcome of one that may have run is reported as unknown. */
     private void rejectOpen(OpenRequest request, Placement.Reject rejection) {
-        openById.remove(request.requestId());
+        close(request);
         if (request.mayHaveRun()) {
             reject(request.requestId(), CoreErrorCode.OUTCOME_UNKNOWN, rejection.detail(), 0);
         } else {
@@ -345,8 +340,12 @@
     }
 
     void handleCallerLeft(long requestId) {
-        OpenRequest request = openById.remove(requestId);
-        if (request != null && request.currentServer() != null) {
+        OpenRequest request = openById.get(requestId);
+        if (request == null) {
+            return;
+        }
+        close(request);
+        if (request.currentServer() != null) {
             request.currentServer().recordCancelled(requestId);
             if (request.route().isIdempotent()) {
                 actions.add(new ServingAction.CancelAttempt(requestId, request.attemptCount()));
@@ -365,6 +364,7 @@
             due = timers.pollDue(nowNanos);
         }
         keyLoadRecorder.takeDue(nowNanos).forEach(load -> actions.add(new ServingAction.ReportKeyLoad(load)));
+        allowances.takeReport(nowNanos).ifPresent(report -> actions.add(new ServingAction.ReportQuota(report)));
     }
 
     private void runTimer(OpenRequest request, Purpose purpose, long nowNanos) {
@@ -376,7 +376,7 @@
     }
 
     private void timeOut(OpenRequest request) {
-        openById.remove(request.requestId());
+        close(request);
         if (request.currentServer() != null) {
             String serverId = request.currentServer().server().id();
             request.currentServer().recordCancelled(request.requestId());
--- a/daisyscale-core/src/main/java/org/daisyscale/core/peer/PeerMessage.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/peer/PeerMessage.java
@@ -7,6 +7,8 @@
 import org.daisyscale.core.keys.KeyLoad;
 import org.daisyscale.core.membership.ServerStatus;
 import org.daisyscale.core.ownership.OwnershipMap;
+import org.daisyscale.core.quota.QuotaGrant;
+import org.daisyscale.core.quota.QuotaReport;
 import org.daisyscale.core.request.BackendOutcome;
 import org.daisyscale.core.request.Permit;
 import org.daisyscale.core.serving.FleetNews;
@@ -358,4 +360,18 @@
      * @param bornEpochMillis the start of the server's incarnation, in milliseconds since the epoch
      */
     record ServerLeaving(String serverId, long bornEpochMillis) implements PeerMessage, FleetNews {}
+
+    /**
+     * Reports the sender's credits of the organisations' allowances to the controller, and asks for more.
+     *
+     * @param report the report
+     */
+    record QuotaReported(QuotaReport report) implements PeerMessage {}
+
+    /**
+     * Grants credits of the organisations' allowances.
+     *
+     * @param grant the grant
+     */
+    record QuotaGranted(QuotaGrant grant) implements PeerMessage {}
 }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingAction.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingAction.java
@@ -2,6 +2,7 @@
 
 import org.daisyscale.core.error.CoreErrorCode;
 import org.daisyscale.core.keys.KeyLoad;
+import org.daisyscale.core.quota.QuotaReport;
 
 /** An action that the shell of the request path carries out. Immutable. */
 public sealed interface ServingAction {
@@ -51,6 +52,9 @@
     /** Reports the key load at this router to the router that controls the keys. */
     record ReportKeyLoad(KeyLoad load) implements ServingAction {}
 
+    /** Reports the credits at this router to the controller and asks for more. */
+    record ReportQuota(QuotaReport report) implements ServingAction {}
+
     /** Checks the health of {@code server} at {@code healthPath}. Only a response leads to an event. */
     record CheckHealth(BackendServer server, String healthPath) implements ServingAction {}
 
--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingEvent.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingEvent.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.daisyscale.core.quota.QuotaGrant;
 
 /** An event that the request path handles. Immutable. */
 public sealed interface ServingEvent {
@@ -136,6 +137,12 @@
     /** Another router reported {@code news}. */
     record NewsReceived(FleetNews news) implements ServingEvent {}
 
+    /** The controller granted credits of the organisations' allowances, or denied them. */
+    record QuotaGranted(QuotaGrant grant) implements ServingEvent {}
+
+    /** The VM was suspended, and the monotonic clock did not count the time. */
+    record Suspended() implements ServingEvent {}
+
     /** Time passed; a timer may be due. */
     record TimePassed() implements ServingEvent {}
 }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingSettings.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingSettings.java
@@ -1,5 +1,7 @@
 package org.daisyscale.core.serving;
 
+import org.daisyscale.core.quota.QuotaSettings;
+
 /**
  * The fixed settings of the request path. Immutable.
  *
@@ -13,6 +15,7 @@
  * @param retryBudgetWindowMillis the length of the retry budget window, in milliseconds
  * @param drainMillis how long a leaving server may still get requests, in milliseconds
  * @param evacuateMillis how long servers of an evacuated data centre may still get requests, in milliseconds
+ * @param quota the settings of the allowances of organisations
  */
 public record ServingSettings(
         String routerId,
@@ -24,4 +27,32 @@
         double retryBudgetSlackRequests,
         long retryBudgetWindowMillis,
         long drainMillis,
-        long evacuateMillis) {}
+        long evacuateMillis,
+        QuotaSettings quota) {
+
+    /** Creates the settings of a deployment that states nothing about allowances. */
+    public ServingSettings(
+            String routerId,
+            String dataCentre,
+            long randomSeed,
+            double coldBurstFactor,
+            double coldSlackRequests,
+            double retryBudgetRatio,
+            double retryBudgetSlackRequests,
+            long retryBudgetWindowMillis,
+            long drainMillis,
+            long evacuateMillis) {
+        this(
+                routerId,
+                dataCentre,
+                randomSeed,
+                coldBurstFactor,
+                coldSlackRequests,
+                retryBudgetRatio,
+                retryBudgetSlackRequests,
+                retryBudgetWindowMillis,
+                drainMillis,
+                evacuateMillis,
+                QuotaSettings.DEFAULT);
+    }
+}
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/peer/PeerOutbox.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/peer/PeerOutbox.java
@@ -28,7 +28,9 @@
             PeerMessage.KeyMapRequest.class,
             PeerMessage.ViewReport.class,
             PeerMessage.ViewHeld.class,
-            PeerMessage.ViewUpdated.class);
+            PeerMessage.ViewUpdated.class,
+            PeerMessage.QuotaReported.class,
+            PeerMessage.QuotaGranted.class);
 
     private final int limit;
     private final Map<Object, PeerMessage> pending = new LinkedHashMap<>();
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
@@ -61,6 +61,7 @@
     private volatile PeerNetwork network;
     private DutyThread reader;
     private volatile RouterEntry controller;
+    private volatile QuotaLink quotas;
     private long connectionCount;
 
     ControllerLink(
@@ -81,6 +82,20 @@
         inboxByPrefix.put(prefix, inbox);
     }
 
+    /** Sets the link that receives what other routers say about allowances. */
+    void followQuotas(QuotaLink newQuotas) {
+        quotas = newQuotas;
+    }
+
+    private Optional<QuotaLink> quotas() {
+        return Optional.ofNullable(quotas);
+    }
+
+    /** Returns the id of the controller, as far as this router knows. Takes no lock, see {@link #report}. */
+    Optional<String> controllerId() {
+        return Optional.ofNullable(controller).map(RouterEntry::routerId);
+    }
+
     @Override
     public int broadcast(PeerMessage message) {
         if (!isController()) {
@@ -239,6 +254,7 @@
             connectionCount++;
             connectionByPeer.put(up.peer(), connectionCount);
             log.report("peer-connected", "peer=" + up.peer());
+            quotas().ifPresent(link -> link.handleConnected(up.peer()));
             publishedByService.values().forEach(map -> send(up.peer(), new PeerMessage.KeyMapUpdate(map)));
         } else if (event instanceof Event.PeerDisconnected down) {
             connectionByPeer.remove(down.peer());
@@ -265,6 +281,7 @@
                     .ifPresent(map -> send(from, new PeerMessage.KeyMapUpdate(map)));
         } else {
             handleView(from, message);
+            quotas().ifPresent(link -> link.handle(from, message));
         }
     }
 
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -12,6 +12,8 @@
 import org.daisyscale.core.keys.KeyController;
 import org.daisyscale.core.keys.KeyEvent;
 import org.daisyscale.core.platform.CoordinationStore;
+import org.daisyscale.core.quota.QuotaEvent;
+import org.daisyscale.core.quota.QuotaLedger;
 import org.daisyscale.core.serving.RequestRouter;
 import org.daisyscale.core.serving.ServingEvent;
 import org.daisyscale.router.internal.assembly.StopSignal;
@@ -67,6 +69,7 @@
     private final CallerConnections connections = new CallerConnections();
     private final Ring<ServingEvent> servingEvents = new ArrayRing<>("decisions", RING_CAPACITY);
     private final Ring<KeyEvent> keyEvents = new ArrayRing<>("keys", RING_CAPACITY);
+    private final Ring<QuotaEvent> quotaEvents = new ArrayRing<>("allowances", RING_CAPACITY);
     private final Ring<KeyAction> mapActions = new ArrayRing<>("key-maps", RING_CAPACITY);
 
     /** Creates the assembly without starting it. */
@@ -76,6 +79,7 @@
         metrics.registerOpenRequests(exchanges::size);
         metrics.registerRingDepth(servingEvents);
         metrics.registerRingDepth(keyEvents);
+        metrics.registerRingDepth(quotaEvents);
     }
 
     /** Runs until {@code stopSignal} requests the stop and the stop is complete. */
@@ -94,8 +98,11 @@
                     new CountedStore(new StoreClient(loop, settings.store(), dialect.store()), metrics);
             LeaseDuty lease = createLeaseDuty(store);
             FleetListeners listeners =
-                    new FleetListeners(dialect.fleet(), blockingPut(servingEvents), blockingPut(keyEvents), readiness);
-            try (DutyThread decisions = DutyThread.start("decisions", createServingDuty(loop, controller)::runStep);
+                    new FleetListeners(dialect.fleet(), fleetEvents(), blockingPut(keyEvents), readiness);
+            QuotaLink quotas = createQuotaLink(controller);
+            try (DutyThread decisions =
+                            DutyThread.start("decisions", createServingDuty(loop, controller, quotas)::runStep);
+                    DutyThread allowances = DutyThread.start("allowances", createQuotaDuty(quotas)::runStep);
                     DutyThread keys = DutyThread.start("keys", createKeyDuty(loop, controller)::runStep);
                     FollowedPrefix operators = followOperators(store, controller, listeners);
                     FollowedPrefix servers = followServers(store, controller, listeners);
@@ -137,12 +144,7 @@
         RouterEntry self =
                 new RouterEntry(settings.serving().routerId(), peers.host(), peers.port(), 0, settings.cores());
         return new LeaseDuty(
-                store,
-                self,
-                blockingPut(servingEvents),
-                blockingPut(keyEvents),
-                new SuspensionDetector(),
-                System::nanoTime);
+                store, self, blockingPut(servingEvents), leaseEvents(), new SuspensionDetector(), System::nanoTime);
     }
 
     private ServingHandler createCallerHandler() {
@@ -150,7 +152,37 @@
                 dialect.callers(), servingEvents, exchanges, connections, new ByteBudget(BODY_BUDGET_BYTES), metrics);
     }
 
-    private ServingDuty createServingDuty(HttpLoop loop, ControllerLink controller) {
+    /** Returns a consumer of what the store contains, which the ledger of the allowances also needs to know. */
+    private Consumer<ServingEvent> fleetEvents() {
+        Consumer<QuotaEvent> quotas = blockingPut(quotaEvents);
+        return blockingPut(servingEvents)
+                .andThen(event -> QuotaDuty.toQuotaEvent(event).ifPresent(quotas));
+    }
+
+    private Consumer<KeyEvent> leaseEvents() {
+        Consumer<QuotaEvent> quotas = blockingPut(quotaEvents);
+        return blockingPut(keyEvents)
+                .andThen(event -> QuotaDuty.toQuotaEvent(event).ifPresent(quotas));
+    }
+
+    private QuotaLink createQuotaLink(ControllerLink controller) {
+        QuotaLink quotas = new QuotaLink(
+                settings.serving().routerId(),
+                controller,
+                quotaEvents,
+                blockingPut(servingEvents),
+                ring -> metrics.ringFull(ring.name()));
+        controller.followQuotas(quotas);
+        return quotas;
+    }
+
+    private QuotaDuty createQuotaDuty(QuotaLink quotas) {
+        QuotaLedger ledger = new QuotaLedger(
+                settings.serving().routerId(), settings.serving().quota());
+        return new QuotaDuty(ledger, quotaEvents, quotas, EventLog::info);
+    }
+
+    private ServingDuty createServingDuty(HttpLoop loop, ControllerLink controller, QuotaLink quotas) {
         AttemptSender attempts = new AttemptSender(loop, dialect.backends(), blockingPut(servingEvents)::accept);
         HealthCheckSender healthChecks = new HealthCheckSender(loop, dialect.backends(), blockingPut(servingEvents));
         RequestRouter router = RequestRouter.create(settings.serving());
@@ -162,6 +194,7 @@
                 healthChecks,
                 controller::report,
                 controller::share,
+                quotas::report,
                 EventLog::info,
                 metrics);
     }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingDuty.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.function.Consumer;
 import org.daisyscale.core.keys.KeyLoad;
+import org.daisyscale.core.quota.QuotaReport;
 import org.daisyscale.core.serving.AttemptOutcome;
 import org.daisyscale.core.serving.FleetNews;
 import org.daisyscale.core.serving.RequestRouter;
@@ -22,8 +23,10 @@
     private final HealthCheckSender healthChecks;
     private final Consumer<KeyLoad> keyLoads;
     private final Consumer<FleetNews> news;
+    private final Consumer<QuotaReport> quotaReports;
     private final EventReporter log;
     private final ServingMetrics metrics;
+    private final SuspensionDetector suspensions = new SuspensionDetector();
 
     ServingDuty(
             RequestRouter router,
@@ -33,6 +36,7 @@
             HealthCheckSender healthChecks,
             Consumer<KeyLoad> keyLoads,
             Consumer<FleetNews> news,
+            Consumer<QuotaReport> quotaReports,
             EventReporter log,
             ServingMetrics metrics) {
         this.router = router;
@@ -42,6 +46,7 @@
         this.healthChecks = healthChecks;
         this.keyLoads = keyLoads;
         this.news = news;
+        this.quotaReports = quotaReports;
         this.log = log;
         this.metrics = metrics;
     }
@@ -58,6 +63,9 @@
         } else if (event instanceof ServingEvent.AttemptEnded ended) {
             recordAttempt(ended);
         }
+        if (suspensions.wasSuspended()) {
+            router.handle(new ServingEvent.Suspended(), System.nanoTime()).forEach(this::run);
+        }
         router.handle(event, System.nanoTime()).forEach(this::run);
         if (event instanceof ServingEvent.CallerLeft left) {
             exchanges.removeAbandoned(left.requestId());
@@ -94,12 +102,20 @@
             deliver(deliver.requestId());
         } else if (action instanceof ServingAction.Reject rejection) {
             reject(rejection);
-        } else if (action instanceof ServingAction.ReportKeyLoad report) {
+        } else if (action instanceof ServingAction.Report report) {
+            log.report(report.event(), report.detail());
+        } else {
+            tellOthers(action);
+        }
+    }
+
+    private void tellOthers(ServingAction action) {
+        if (action instanceof ServingAction.ReportKeyLoad report) {
             keyLoads.accept(report.load());
         } else if (action instanceof ServingAction.ShareNews share) {
             news.accept(share.news());
-        } else if (action instanceof ServingAction.Report report) {
-            log.report(report.event(), report.detail());
+        } else if (action instanceof ServingAction.ReportQuota report) {
+            quotaReports.accept(report.report());
         }
     }
 
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/UncertainRouteReplyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/UncertainRouteReplyTest.java
@@ -55,6 +55,7 @@
                 new HealthCheckSender(null, null, event -> {}),
                 load -> {},
                 news -> {},
+                report -> {},
                 (event, detail) -> lines.add(event + " " + detail),
                 metrics);
         decisions = DutyThread.start("decisions", duty::runStep);
