--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/AllowanceGate.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/AllowanceGate.java
@@ -14,6 +14,7 @@
 import org.daisyscale.core.quota.QuotaReport;
 import org.daisyscale.core.serving.AttemptOutcome;
 import org.daisyscale.core.serving.Organisation;
+import org.daisyscale.core.serving.OrganisationTable;
 
 /**
  * Lets requests of organisations with an allowance run only on a credit. Requests of others pass without any cost.
@@ -34,6 +35,7 @@
 
     private final QuotaAccount account;
     private final LocalReserve reserve;
+    private OrganisationTable organisations = OrganisationTable.NONE;
     private final Map<String, Set<Long>> waitingByOrganisation = new HashMap<>();
     private final Map<Long, Long> waitUntilNanosByRequest = new HashMap<>();
 
@@ -43,6 +45,17 @@
         this.reserve = new LocalReserve(fleet);
     }
 
+    /** Replaces the organisations; credits of those whose allowance was lowered are discarded. */
+    void handleOrganisations(OrganisationTable newer, long nowNanos) {
+        newer.byName().forEach((name, organisation) -> {
+            Organisation older = organisations.byName().get(name);
+            if (older != null && organisation.allowance().isLowerThan(older.allowance())) {
+                account.discardCredits(name, nowNanos);
+            }
+        });
+        organisations = newer;
+    }
+
     private static Optional<String> limitedName(OpenRequest request) {
         return request.organisation()
                 .filter(organisation -> organisation.allowance().isLimited())
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/DirectRequestRouter.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/DirectRequestRouter.java
@@ -46,7 +46,7 @@
 
     private void applyUpdate(ServingEvent event, long nowNanos) {
         if (event instanceof ServingEvent.TableChanged changed) {
-            applyTable(changed);
+            applyTable(changed, nowNanos);
         } else if (event instanceof ServingEvent.ConfigurationConfirmed confirmed) {
             fleet.configuration().confirm(confirmed.confirmedNanos());
         } else if (event instanceof ServingEvent.ServersListed listed) {
@@ -74,9 +74,9 @@
         }
     }
 
-    private void applyTable(ServingEvent.TableChanged changed) {
+    private void applyTable(ServingEvent.TableChanged changed, long nowNanos) {
         if (fleet.replaceTable(changed.table(), changed.source())) {
-            coordinator.handleTableChanged(changed.table());
+            coordinator.handleTableChanged(changed.table(), nowNanos);
         }
     }
 
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
@@ -104,8 +104,9 @@
         allowances.handleSuspension(nowNanos);
     }
 
-    void handleTableChanged(RoutingTable table) {
+    void handleTableChanged(RoutingTable table, long nowNanos) {
         splitter.clear();
+        allowances.handleOrganisations(table.organisations(), nowNanos);
         String detail = "version=%d routes=%d openRequests=%d"
                 .formatted(table.version(), table.routes().size(), openById.size());
         actions.add(new ServingAction.Report("configuration-in-force", detail));
--- a/daisyscale-core/src/main/java/org/daisyscale/core/quota/QuotaAccount.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/quota/QuotaAccount.java
@@ -36,6 +36,7 @@
 
     private final long incarnation;
     private final long windowNanos;
+    private final long lifetimeNanos;
     private final Map<String, OrganisationAccount> accountByName = new HashMap<>();
     private final Set<String> changed = new LinkedHashSet<>();
     private final Set<String> wanting = new LinkedHashSet<>();
@@ -54,7 +55,12 @@
 
     /** Creates an account without credits; {@code incarnation} identifies this process. */
     public QuotaAccount(long incarnation, QuotaSettings settings) {
+        this(incarnation, settings, QuotaTiming.LIFETIME_NANOS);
+    }
+
+    QuotaAccount(long incarnation, QuotaSettings settings, long lifetimeNanos) {
         this.incarnation = incarnation;
+        this.lifetimeNanos = lifetimeNanos;
         this.windowNanos = settings.windowMillis() * 1_000_000L;
     }
 
@@ -152,7 +158,7 @@
 
     private List<String> apply(QuotaGrant grant, SentReport sent, long nowNanos) {
         List<String> changedNames = new ArrayList<>();
-        long expiryNanos = sent.atNanos() + QuotaTiming.LIFETIME_NANOS;
+        long expiryNanos = sent.atNanos() + lifetimeNanos;
         for (QuotaGrant.Share share : grant.shares()) {
             String name = share.organisation();
             OrganisationAccount account = account(name);
@@ -183,6 +189,13 @@
         forgetRequests();
     }
 
+    /** Discards the credits of an organisation whose allowance was lowered: they were granted by the higher one. */
+    public void discardCredits(String organisation, long nowNanos) {
+        if (accountByName.containsKey(organisation) && account(organisation).discardCredits()) {
+            recordChange(organisation, nowNanos);
+        }
+    }
+
     /** Returns the report that is due; empty if none is. */
     public Optional<QuotaReport> takeReport(long nowNanos) {
         start(nowNanos);
--- a/daisyscale-core/src/main/java/org/daisyscale/core/quota/QuotaLedger.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/quota/QuotaLedger.java
@@ -111,7 +111,7 @@
     }
 
     private void requestAllWhole(long nowNanos) {
-        routers.present().forEach(routerId -> requestWhole(routerId, nowNanos));
+        routers.present().stream().sorted().forEach(routerId -> requestWhole(routerId, nowNanos));
     }
 
     private void requestWhole(String routerId, long nowNanos) {
--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/Allowance.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/Allowance.java
@@ -21,6 +21,11 @@
         return requestsPerSecond > 0;
     }
 
+    /** Returns whether fewer requests may run than by {@code other}, at least in windows of some length. */
+    public boolean isLowerThan(Allowance other) {
+        return isLimited() && (requestsPerSecond < other.requestsPerSecond || burstRequests < other.burstRequests);
+    }
+
     /** Returns how many requests may run in a window of {@code windowMillis} milliseconds. */
     public double requestsPerWindow(long windowMillis) {
         return requestsPerSecond * windowMillis / 1e3 + burstRequests;
