--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/AllowanceGate.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/AllowanceGate.java
@@ -11,10 +11,10 @@
 import org.daisyscale.core.error.CoreErrorCode;
 import org.daisyscale.core.quota.QuotaAccount;
 import org.daisyscale.core.quota.QuotaGrant;
-import org.daisyscale.core.quota.QuotaReport;
 import org.daisyscale.core.serving.AttemptOutcome;
 import org.daisyscale.core.serving.Organisation;
 import org.daisyscale.core.serving.OrganisationTable;
+import org.daisyscale.core.serving.ServingAction;
 
 /**
  * Lets requests of organisations with an allowance run only on a credit. Requests of others pass without any cost.
@@ -35,6 +35,7 @@
 
     private final QuotaAccount account;
     private final LocalReserve reserve;
+    private final AllowanceCounters counters;
     private OrganisationTable organisations = OrganisationTable.NONE;
     private final Map<String, Set<Long>> waitingByOrganisation = new HashMap<>();
     private final Map<Long, Long> waitUntilNanosByRequest = new HashMap<>();
@@ -43,6 +44,7 @@
         this.account =
                 new QuotaAccount(fleet.settings().randomSeed(), fleet.settings().quota());
         this.reserve = new LocalReserve(fleet);
+        this.counters = new AllowanceCounters(account);
     }
 
     /** Replaces the organisations; credits of those whose allowance was lowered are discarded. */
@@ -65,12 +67,19 @@
     /** Spends what the next attempt needs; returns what happens to the request instead if there is nothing. */
     Optional<Placement> admit(OpenRequest request, long nowNanos) {
         request.setCredit(OptionalLong.empty());
-        return limitedName(request).flatMap(name -> admit(request, name, nowNanos));
+        return limitedName(request).flatMap(name -> {
+            Optional<Placement> refusal = admit(request, name, nowNanos);
+            if (refusal.isPresent() && refusal.get() instanceof Placement.Reject rejection) {
+                counters.recordRefused(name, rejection.reason());
+            }
+            return refusal;
+        });
     }
 
     private Optional<Placement> admit(OpenRequest request, String name, long nowNanos) {
         if (request.attemptCount() == 0 && !isWaiting(request)) {
             account.recordArrival(name, nowNanos);
+            counters.recordReceived(name, nowNanos);
         }
         OptionalLong creditExpiryNanos = account.trySpend(name, nowNanos);
         if (creditExpiryNanos.isPresent()) {
@@ -138,6 +147,11 @@
         });
     }
 
+    /** Records that the response to the request is delivered. */
+    void recordServed(OpenRequest request) {
+        limitedName(request).ifPresent(counters::recordServed);
+    }
+
     /** Returns the credit of an attempt that certainly did not run. */
     void recordEnd(OpenRequest request, AttemptOutcome outcome, long nowNanos) {
         if (!outcome.mayHaveRun()) {
@@ -171,16 +185,21 @@
     }
 
     /** Discards all credits: they may have expired while the VM was suspended. */
-    void handleSuspension(long nowNanos) {
-        account.discardCredits(nowNanos);
+    ServingAction.Report handleSuspension(long nowNanos) {
+        long count = account.discardCredits(nowNanos);
+        return new ServingAction.Report("credits-discarded", "the VM was suspended; credits=" + count);
     }
 
-    Optional<QuotaReport> takeReport(long nowNanos) {
-        return account.takeReport(nowNanos);
+    /** Returns the report to the controller and the counts that are due. */
+    List<ServingAction> takeDue(long nowNanos) {
+        List<ServingAction> due = new ArrayList<>();
+        account.takeReport(nowNanos).map(ServingAction.ReportQuota::new).ifPresent(due::add);
+        counters.takeDue(nowNanos).map(ServingAction.PublishCounts::new).ifPresent(due::add);
+        return due;
     }
 
-    /** Returns when {@link #takeReport} is due, by the monotonic clock; {@link Long#MAX_VALUE} for never. */
+    /** Returns when {@link #takeDue} is due, by the monotonic clock; {@link Long#MAX_VALUE} for never. */
     long nextDueNanos() {
-        return account.nextDueNanos();
+        return Math.min(account.nextDueNanos(), counters.nextDueNanos());
     }
 }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
@@ -101,7 +101,7 @@
     }
 
     void handleSuspension(long nowNanos) {
-        allowances.handleSuspension(nowNanos);
+        actions.add(allowances.handleSuspension(nowNanos));
     }
 
     void handleTableChanged(RoutingTable table, long nowNanos) {
@@ -313,6 +313,7 @@
 
     private void deliver(OpenRequest request) {
         close(request);
+        allowances.recordServed(request);
         actions.add(new ServingAction.Deliver(request.requestId(), request.attemptCount()));
     }
 
@@ -365,7 +366,7 @@
             due = timers.pollDue(nowNanos);
         }
         keyLoadRecorder.takeDue(nowNanos).forEach(load -> actions.add(new ServingAction.ReportKeyLoad(load)));
-        allowances.takeReport(nowNanos).ifPresent(report -> actions.add(new ServingAction.ReportQuota(report)));
+        actions.addAll(allowances.takeDue(nowNanos));
     }
 
     private void runTimer(OpenRequest request, Purpose purpose, long nowNanos) {
--- a/daisyscale-core/src/main/java/org/daisyscale/core/quota/OrganisationAccount.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/quota/OrganisationAccount.java
@@ -79,9 +79,9 @@
         requestedCount = 0;
     }
 
-    /** Discards the credits and returns whether there were any. */
-    boolean discardCredits() {
-        return held.removeThrough(Long.MAX_VALUE) > 0;
+    /** Discards the credits and returns how many there were. */
+    long discardCredits() {
+        return held.removeThrough(Long.MAX_VALUE);
     }
 
     /** Removes expired credits and returns whether there were any. */
@@ -94,6 +94,11 @@
         return held.total();
     }
 
+    /** Returns the age of the oldest credit, in milliseconds; 0 if there is none. */
+    long heldAgeMillis(long lifetimeNanos, long nowNanos) {
+        return heldCount(nowNanos) == 0 ? 0 : (nowNanos - held.earliestNanos() + lifetimeNanos) / 1_000_000L;
+    }
+
     /** Returns whether a busy organisation has used half of the credits that it had in advance. */
     boolean wantsPrefetch(long nowNanos) {
         return prefetchCount(nowNanos) > 0
--- a/daisyscale-core/src/main/java/org/daisyscale/core/quota/QuotaAccount.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/quota/QuotaAccount.java
@@ -179,19 +179,27 @@
                 .forEach(name -> want(name, nowNanos, 0));
     }
 
-    /** Discards all credits, since the monotonic clock did not count the time in which they may have expired. */
-    public void discardCredits(long nowNanos) {
-        accountByName.forEach((name, account) -> {
-            if (account.discardCredits()) {
-                recordChange(name, nowNanos);
+    /**
+     * Discards all credits: the monotonic clock did not count the time in which they may have expired.
+     *
+     * @return how many there were
+     */
+    public long discardCredits(long nowNanos) {
+        long discardedCount = 0;
+        for (Map.Entry<String, OrganisationAccount> entry : accountByName.entrySet()) {
+            long count = entry.getValue().discardCredits();
+            if (count > 0) {
+                recordChange(entry.getKey(), nowNanos);
             }
-        });
+            discardedCount += count;
+        }
         forgetRequests();
+        return discardedCount;
     }
 
     /** Discards the credits of an organisation whose allowance was lowered: they were granted by the higher one. */
     public void discardCredits(String organisation, long nowNanos) {
-        if (accountByName.containsKey(organisation) && account(organisation).discardCredits()) {
+        if (accountByName.containsKey(organisation) && account(organisation).discardCredits() > 0) {
             recordChange(organisation, nowNanos);
         }
     }
@@ -297,6 +305,12 @@
         return account == null ? 0 : account.heldCount(nowNanos);
     }
 
+    /** Returns the age of the oldest credit of {@code organisation}, in milliseconds; 0 if there is none. */
+    public long heldAgeMillis(String organisation, long nowNanos) {
+        OrganisationAccount account = accountByName.get(organisation);
+        return account == null ? 0 : account.heldAgeMillis(lifetimeNanos, nowNanos);
+    }
+
     /** A report that was sent. */
     private record SentReport(long atNanos, Map<String, Long> wantedByName) {}
 
--- a/daisyscale-core/src/main/java/org/daisyscale/core/quota/QuotaLedger.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/quota/QuotaLedger.java
@@ -167,7 +167,12 @@
 
     private void updateTakeOver(long nowNanos) {
         if (isLeaseHeld) {
-            takeOver.update(sessionByRouter, routers.awaited(nowNanos));
+            boolean isNews = takeOver.update(sessionByRouter, routers.awaited(nowNanos));
+            if (isNews && isEnabled) {
+                actions.add(new QuotaAction.Report(
+                        "allowances-reported",
+                        "routers=%d %s".formatted(sessionByRouter.size(), takeOver.describe(nowNanos))));
+            }
         }
     }
 
--- a/daisyscale-core/src/main/java/org/daisyscale/core/quota/TakeOver.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/quota/TakeOver.java
@@ -23,12 +23,17 @@
         this.endNanos = startedNanos + QuotaTiming.LIFETIME_AT_CONTROLLER_NANOS + windowNanos;
     }
 
-    /** Records the routers that have reported; {@code awaitedIds} are those that may have credits. */
-    void update(Map<String, RouterSession> sessionByRouter, Set<String> awaitedIds) {
-        if (!isComplete && sessionByRouter.keySet().containsAll(awaitedIds)) {
-            isComplete = true;
-            endNanos = Math.min(endNanos, latestStartNanos(sessionByRouter.values()) + windowNanos);
+    /**
+     * Records the routers that have reported; {@code awaitedIds} are those that may have credits. Returns whether all
+     * of them have reported now.
+     */
+    boolean update(Map<String, RouterSession> sessionByRouter, Set<String> awaitedIds) {
+        if (isComplete || !sessionByRouter.keySet().containsAll(awaitedIds)) {
+            return false;
         }
+        isComplete = true;
+        endNanos = Math.min(endNanos, latestStartNanos(sessionByRouter.values()) + windowNanos);
+        return true;
     }
 
     private static long latestStartNanos(Collection<RouterSession> sessions) {
--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingAction.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingAction.java
@@ -1,7 +1,9 @@
 package org.daisyscale.core.serving;
 
+import java.util.List;
 import org.daisyscale.core.error.CoreErrorCode;
 import org.daisyscale.core.keys.KeyLoad;
+import org.daisyscale.core.quota.OrganisationCounts;
 import org.daisyscale.core.quota.QuotaReport;
 
 /** An action that the shell of the request path carries out. Immutable. */
@@ -55,6 +57,14 @@
     /** Reports the credits at this router to the controller and asks for more. */
     record ReportQuota(QuotaReport report) implements ServingAction {}
 
+    /** Publishes what became of the requests of the busiest organisations. */
+    record PublishCounts(List<OrganisationCounts> counts) implements ServingAction {
+
+        public PublishCounts {
+            counts = List.copyOf(counts);
+        }
+    }
+
     /** Checks the health of {@code server} at {@code healthPath}. Only a response leads to an event. */
     record CheckHealth(BackendServer server, String healthPath) implements ServingAction {}
 
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingDuty.java
@@ -116,6 +116,8 @@
             news.accept(share.news());
         } else if (action instanceof ServingAction.ReportQuota report) {
             quotaReports.accept(report.report());
+        } else if (action instanceof ServingAction.PublishCounts publish) {
+            metrics.organisations().publish(publish.counts());
         }
     }
 
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingMetrics.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingMetrics.java
@@ -30,6 +30,7 @@
     private final Counter extraResponses;
     private final Counter controllerUpdates;
     private final Counter storeReads;
+    private final OrganisationMetrics organisations = new OrganisationMetrics(registry);
     private final AtomicLong configurationVersion = new AtomicLong();
     private final Map<String, LongSupplier> viewAgeByPrefix = new ConcurrentHashMap<>();
 
@@ -67,6 +68,11 @@
                 .register(registry);
     }
 
+    /** Returns the metrics of the organisations' allowances. */
+    OrganisationMetrics organisations() {
+        return organisations;
+    }
+
     private Counter counter(String name, String help, String... labels) {
         return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
     }
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ServingMetricsTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ServingMetricsTest.java
@@ -15,6 +15,7 @@
 import java.util.stream.Collectors;
 import org.daisyscale.core.following.UpdateResult;
 import org.daisyscale.core.platform.CoordinationStore;
+import org.daisyscale.core.quota.OrganisationCounts;
 import org.daisyscale.router.internal.ring.ArrayRing;
 import org.daisyscale.router.serving.StoreException;
 import org.junit.jupiter.api.Test;
@@ -67,6 +68,18 @@
                         "daisyscale_serving_store_reads_total{kind=\"watch\",prefix=\"op/\"} 1.0");
     }
 
+    @Test
+    void shouldGiveWhatBecameOfTheRequestsOfAnOrganisation() {
+        metrics.organisations().publish(List.of(new OrganisationCounts("bakers", 9, 6, 2, 1, 4, 250)));
+
+        assertThat(samples())
+                .contains(
+                        "daisyscale_serving_organisation_requests_total"
+                                + "{organisation=\"bakers\",result=\"over-allowance\"} 2.0",
+                        "daisyscale_serving_organisation_credits{organisation=\"bakers\"} 4.0",
+                        "daisyscale_serving_organisation_credit_age_seconds{organisation=\"bakers\"} 0.25");
+    }
+
     @Test
     void shouldListEveryMetricWithItsType() throws IOException {
         useEachMetric();
@@ -93,6 +106,8 @@
         metrics.registerOpenRequests(() -> 1);
         metrics.registerRingDepth(new ArrayRing<>("decisions", 4));
         metrics.registerRingDepth(new ArrayRing<>("keys", 4));
+        metrics.registerRingDepth(new ArrayRing<>("allowances", 4));
+        metrics.organisations().publish(List.of(new OrganisationCounts("bakers", 9, 6, 2, 1, 4, 250)));
     }
 
     private static Set<String> listedMetrics() throws IOException {
