--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/AllowanceCounters.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/AllowanceCounters.java
@@ -49,7 +49,7 @@
         }
     }
 
-    /** Returns the counts of {@code organisation}; beyond the limit, organisations share counts that aren't published. */
+    /** Returns the counts of {@code organisation}; beyond the limit they share hidden ones. */
     private Counts counts(String organisation) {
         Counts known = countsByOrganisation.get(organisation);
         if (known != null || countsByOrganisation.size() >= MAX_COUNTED) {
