Allowances: what a new controller may grant before it knows all requests of the window

A router now reports to the ledger that answered last, and a new controller grants 0.9 of the overshoot and half of the slack of the users' bound in addition; the local reserve takes a quarter of the slack instead of half.

--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/LocalReserve.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/LocalReserve.java
@@ -12,10 +12,10 @@
  */
 final class LocalReserve {
     /**
-     * Fraction of the slack that is used. When routers come and go, a share passes to another router within the window,
-     * so that each may have been used twice.
+     * Fraction of the slack that is used: half of the slack is granted by a new controller, and when routers come and
+     * go, a share passes to another router within the window, so that each may have been used twice.
      */
-    private static final double USED_FRACTION = 0.5;
+    private static final double USED_FRACTION = 0.25;
     /** Time added to the window, in nanoseconds: a request may run later than it was counted. */
     private static final long MARGIN_NANOS = 1_000_000_000L;
 
--- a/daisyscale-core/src/main/java/org/daisyscale/core/quota/QuotaLedger.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/quota/QuotaLedger.java
@@ -24,6 +24,7 @@
     private static final long SEED_FACTOR = 0x9E3779B97F4A7C15L;
 
     private final long seed;
+    private final QuotaSettings settings;
     private final long windowNanos;
     private final TakeOver.Routers routers = new TakeOver.Routers();
     private final Map<String, RouterSession> sessionByRouter = new HashMap<>();
@@ -40,6 +41,7 @@
     /** Creates the ledger of the router {@code routerId}, which does not hold the control lease. */
     public QuotaLedger(String routerId, QuotaSettings settings) {
         this.seed = routerId.hashCode() * SEED_FACTOR;
+        this.settings = settings;
         this.windowNanos = settings.windowMillis() * 1_000_000L;
     }
 
@@ -91,7 +93,7 @@
     private void takeOver(long nowNanos) {
         isLeaseHeld = true;
         term = newTerm(nowNanos);
-        takeOver = new TakeOver(windowNanos, nowNanos);
+        takeOver = new TakeOver(settings, nowNanos);
         sessionByRouter.clear();
         ledgerByName.clear();
         if (isEnabled) {
@@ -219,7 +221,8 @@
         }
         double limit = organisation.allowance().requestsPerWindow(windowNanos / 1_000_000L);
         double unreported = takeOver.unreported(limit, ledger, nowNanos);
-        long available = (long) Math.floor(limit - unreported - ledger.usedCount());
+        double allowed = limit + takeOver.allowedBeyond(limit, nowNanos);
+        long available = (long) Math.floor(allowed - unreported - ledger.usedCount());
         long granted = Math.min(usage.wantedCount(), Math.max(Math.min(1, available), (long) (available * MAX_SHARE)));
         if (granted <= 0) {
             long missing = usage.wantedCount() - available;
--- a/daisyscale-core/src/main/java/org/daisyscale/core/quota/TakeOver.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/quota/TakeOver.java
@@ -12,13 +12,23 @@
  * credits have reported, only requests before the latest start of their processes are unknown. Not thread-safe.
  */
 final class TakeOver {
+    /**
+     * Fraction of the overshoot of the bound that is granted, so that two take-overs within one window stay below the
+     * bound; the rest covers requests that run later than counted.
+     */
+    private static final double OVERSHOOT_FRACTION = 0.9;
+    /** Fraction of the slack of the bound that is granted; half of the slack is for the routers' local reserve. */
+    private static final double SLACK_FRACTION = 0.5;
+
+    private final QuotaSettings settings;
     private final long windowNanos;
     private final long startedNanos;
     private long endNanos;
     private boolean isComplete;
 
-    TakeOver(long windowNanos, long startedNanos) {
-        this.windowNanos = windowNanos;
+    TakeOver(QuotaSettings settings, long startedNanos) {
+        this.settings = settings;
+        this.windowNanos = settings.windowMillis() * 1_000_000L;
         this.startedNanos = startedNanos;
         this.endNanos = startedNanos + QuotaTiming.LIFETIME_AT_CONTROLLER_NANOS + windowNanos;
     }
@@ -49,6 +59,17 @@
         return isEnded(nowNanos) ? 0 : Math.max(0, limit - ledger.reportedAtTakeOver());
     }
 
+    /**
+     * Returns how many requests may run in addition to {@code limit} until all that was not reported is out of the
+     * window. Requests of before are counted as the whole allowance, of which they usually are a part, so that without
+     * these an organisation would be served nothing for seconds after a restart of all routers.
+     */
+    double allowedBeyond(double limit, long nowNanos) {
+        return isEnded(nowNanos)
+                ? 0
+                : OVERSHOOT_FRACTION * settings.overshoot() * limit + SLACK_FRACTION * settings.slackRequests();
+    }
+
     /** Describes the state, for the log. */
     String describe(long nowNanos) {
         return "complete=%s sinceMillis=%d untilMillis=%d"
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControllerLink.java
@@ -138,6 +138,9 @@
         if (isController() && !newController.routerId().equals(routerId)) {
             publishedByService.clear();
         }
+        if (!isControlledBy(newController.routerId())) {
+            quotas().ifPresent(QuotaLink::handleControllerChanged);
+        }
         controller = newController;
         receivedByRouter.keySet().retainAll(Set.of(newController.routerId()));
         updateWantedPeers();
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/QuotaLink.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/QuotaLink.java
@@ -1,5 +1,6 @@
 package org.daisyscale.router.internal.serving;
 
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.daisyscale.core.peer.PeerMessage;
 import org.daisyscale.core.quota.QuotaEvent;
@@ -19,6 +20,8 @@
     private final Ring<QuotaEvent> events;
     private final Consumer<ServingEvent> servingEvents;
     private final Consumer<Ring<?>> onFull;
+    /** The router whose ledger answered last; empty if another controller was seen in the store since. */
+    private volatile Optional<String> ledgerId = Optional.empty();
 
     QuotaLink(
             String routerId,
@@ -33,9 +36,13 @@
         this.onFull = onFull;
     }
 
-    /** Sends {@code report} to the controller, if one is known. Never blocks. */
+    /**
+     * Sends {@code report} to the router that keeps the ledger, if one is known. Never blocks. A router that is cut off
+     * from the store doesn't read who the new controller is, but is connected by it and hears of its ledger. Each
+     * ledger counts only what it granted itself, so a report to a former controller costs at most the credits it wanted.
+     */
     void report(QuotaReport report) {
-        link.controllerId().ifPresent(controllerId -> {
+        ledgerId.or(link::controllerId).ifPresent(controllerId -> {
             if (controllerId.equals(routerId)) {
                 offer(new QuotaEvent.ReportReceived(routerId, report));
             } else {
@@ -47,6 +54,7 @@
     /** Sends {@code grant} to the router {@code receiverId}; blocks while the ring of the own decisions is full. */
     void grant(String receiverId, QuotaGrant grant) {
         if (receiverId.equals(routerId)) {
+            ledgerId = Optional.of(routerId);
             servingEvents.accept(new ServingEvent.QuotaGranted(grant));
         } else {
             link.send(receiverId, new PeerMessage.QuotaGranted(grant));
@@ -58,10 +66,16 @@
         if (message instanceof PeerMessage.QuotaReported reported) {
             offer(new QuotaEvent.ReportReceived(from, reported.report()));
         } else if (message instanceof PeerMessage.QuotaGranted granted) {
+            ledgerId = Optional.of(from);
             servingEvents.accept(new ServingEvent.QuotaGranted(granted.grant()));
         }
     }
 
+    /** Records that another router than before was seen as the controller in the store. */
+    void handleControllerChanged() {
+        ledgerId = Optional.empty();
+    }
+
     /** Records that a connection to {@code peer} was opened. */
     void handleConnected(String peer) {
         offer(new QuotaEvent.RouterConnected(peer));
