Place requests by the current speed of servers

The load header's fourth figure says how long work takes on the machine now. LoadReport ignored it, so that a server in a slow moment of 0.4 s (work takes three times as long) got as many requests as before. WorkDuration keeps the last figure for 0.4 s, fading to the mean; expected waits and service times are multiplied by it, and the usual service time is learned without it. A pooled request goes to no server in a slow moment while another of the data centre is free. The key balance still gets the service time that includes slow moments.

--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/Admission.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/Admission.java
@@ -23,10 +23,10 @@
     static Optional<Placement.Reject> rejection(
             OpenRequest request, ServerView view, double objectiveFraction, long nowNanos) {
         double waitMillis = view.waitMillis(nowNanos);
-        double expectedMillis = waitMillis + view.serviceMillis();
+        double expectedMillis = waitMillis + view.serviceMillis(nowNanos);
         double objectiveMillis = request.route().targetLatencyMillis() * objectiveFraction;
         boolean missesDeadline =
-                waitMillis + view.serviceMillis() * FAST_SERVICE_FRACTION > request.timeLeftMillis(nowNanos);
+                waitMillis + view.serviceMillis(nowNanos) * FAST_SERVICE_FRACTION > request.timeLeftMillis(nowNanos);
         boolean isLate = missesDeadline || request.ageMillis(nowNanos) + expectedMillis > objectiveMillis;
         if (waitMillis == 0 || !isLate) {
             return Optional.empty();
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/ServerView.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/ServerView.java
@@ -34,6 +34,7 @@
 
     private final Map<Long, Long> sentNanosByRequest = new LinkedHashMap<>();
     private final ColdStartLimiter coldStartLimiter;
+    private final WorkDuration workDuration = new WorkDuration();
     private BackendServer server;
     private double otherInFlightMean;
     private double otherInFlightReported;
@@ -120,11 +121,12 @@
 
     void recordEnded(long requestId, AttemptOutcome outcome, LoadReport load, long nowNanos) {
         Long sentNanos = sentNanosByRequest.remove(requestId);
+        double expectedFactor = workDuration.factor(nowNanos);
         if (load != null) {
             recordLoad(load, nowNanos);
         }
         if (outcome == AttemptOutcome.ANSWERED && sentNanos != null) {
-            recordServiceTime((nowNanos - sentNanos) / NANOS_PER_MILLI, load);
+            recordServiceTime((nowNanos - sentNanos) / NANOS_PER_MILLI, load, expectedFactor);
         }
         recordHealth(outcome, nowNanos);
     }
@@ -134,18 +136,25 @@
         otherInFlightMean += REPORT_WEIGHT * (otherInFlightReported - otherInFlightMean);
         reportedNanos = nowNanos;
         hasReport = true;
+        workDuration.record(load.workDurationFactor(), nowNanos);
     }
 
-    private void recordServiceTime(double elapsedMillis, LoadReport load) {
+    private void recordServiceTime(double elapsedMillis, LoadReport load, double expectedFactor) {
         int waiting = load == null ? 0 : load.waitingCount();
         double rounds = 1 + (double) waiting / Math.max(1, server.slots());
         double sampleMillis = elapsedMillis / rounds;
+        double usualMillis = sampleMillis / workFactor(load, expectedFactor);
         answerCount++;
-        serviceMillis += Math.max(SAMPLE_WEIGHT, 1.0 / (answerCount + 1)) * (sampleMillis - serviceMillis);
+        serviceMillis += Math.max(SAMPLE_WEIGHT, 1.0 / (answerCount + 1)) * (usualMillis - serviceMillis);
         sampleMillisSum += sampleMillis;
         sampleCount++;
     }
 
+    /** Returns the mean of the factors expected before the answer and reported with it: work may outlast a moment. */
+    private static double workFactor(LoadReport load, double expectedFactor) {
+        return load == null ? expectedFactor : (load.workDurationFactor() + expectedFactor) / 2;
+    }
+
     private void recordHealth(AttemptOutcome outcome, long nowNanos) {
         if (outcome == AttemptOutcome.REFUSED_NOT_OWNER || outcome == AttemptOutcome.EXPIRED) {
             return;
@@ -168,7 +177,7 @@
 
     /** Returns whether the oldest attempt in flight has been unanswered for unusually long. */
     boolean isUnresponsive(long nowNanos) {
-        return oldestAgeMillis(nowNanos) > UNRESPONSIVE_MILLIS + 2 * serviceMillis;
+        return oldestAgeMillis(nowNanos) > UNRESPONSIVE_MILLIS + 2 * serviceMillis(nowNanos);
     }
 
     private double oldestAgeMillis(long nowNanos) {
@@ -188,7 +197,7 @@
     double requestsPerSecond(long nowNanos) {
         double ownRate = coldStartLimiter.sentCount(nowNanos) * NANOS_PER_SECOND / ColdStartLimiter.WINDOW_NANOS;
         double othersRunning = Math.min(server.slots(), otherInFlightMean);
-        return ownRate + othersRunning * MILLIS_PER_SECOND / serviceMillis;
+        return ownRate + othersRunning * MILLIS_PER_SECOND / serviceMillis(nowNanos);
     }
 
     private double otherInFlightEstimate(long nowNanos) {
@@ -202,7 +211,7 @@
     /** Returns the expected wait of one more request for a slot, in milliseconds. */
     double waitMillis(long nowNanos) {
         double queuedCount = inFlightEstimate(nowNanos) + 1 - server.slots();
-        return Math.max(0, queuedCount) / server.slots() * serviceMillis;
+        return Math.max(0, queuedCount) / server.slots() * serviceMillis(nowNanos);
     }
 
     /** Returns the mean service time since the last call, without queueing, in milliseconds; empty without answers. */
@@ -216,9 +225,14 @@
         return OptionalDouble.of(mean);
     }
 
-    /** Returns the moving average of the service time, without queueing, in milliseconds. */
-    double serviceMillis() {
-        return serviceMillis;
+    /** Returns the expected service time of a request that starts now, without queueing, in milliseconds. */
+    double serviceMillis(long nowNanos) {
+        return serviceMillis * workDuration.factor(nowNanos);
+    }
+
+    /** Returns whether the server reported a slow moment that may not be over. */
+    boolean isSlow(long nowNanos) {
+        return workDuration.isSlow(nowNanos);
     }
 
     /** Returns the moving average of the failure ratio, 0 to 1. */
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/ShortestWaitPlacer.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/ShortestWaitPlacer.java
@@ -1,11 +1,13 @@
 package org.daisyscale.core.internal.serving;
 
+import java.util.List;
 import java.util.Optional;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.daisyscale.core.error.CoreErrorCode;
 
 /**
- * Sends a request to the server with the shortest expected latency. Failures increase the expected latency of a server;
+ * Sends a request to the server with the shortest expected latency, and to none in a slow moment while another of its
+ * data centre is free. Failures increase the expected latency of a server;
  * a cold server gets requests only within its quota, and an unresponsive one only while at most one of this router's
  * requests is in flight there. Not thread-safe; confined to the core thread.
  */
@@ -34,19 +36,35 @@
 
     @Override
     public Placement place(OpenRequest request, long nowNanos) {
+        List<ServerView> usable = fleet.servers().ofService(request.service()).stream()
+                .filter(view -> isUsable(view, request, nowNanos))
+                .toList();
+        return cheapest(usable, request, nowNanos)
+                .map(best -> best.isSlow(nowNanos) ? steadyInstead(best, usable, request, nowNanos) : best)
+                .<Placement>map(Placement.Send::new)
+                .orElseGet(() -> placeWithoutUsableServer(request, nowNanos));
+    }
+
+    /** Returns a free server in the data centre of {@code slow} that is in no slow moment; {@code slow} for none. */
+    private ServerView steadyInstead(ServerView slow, List<ServerView> usable, OpenRequest request, long nowNanos) {
+        List<ServerView> steady = usable.stream()
+                .filter(view -> !view.isSlow(nowNanos) && view.waitMillis(nowNanos) == 0)
+                .filter(view -> view.server().dataCentre().equals(slow.server().dataCentre()))
+                .toList();
+        return cheapest(steady, request, nowNanos).orElse(slow);
+    }
+
+    private Optional<ServerView> cheapest(List<ServerView> views, OpenRequest request, long nowNanos) {
         ServerView best = null;
         double bestMillis = Double.MAX_VALUE;
-        for (ServerView view : fleet.servers().ofService(request.service())) {
-            double millis =
-                    isUsable(view, request, nowNanos) ? expectedMillis(view, request, nowNanos) : Double.MAX_VALUE;
+        for (ServerView view : views) {
+            double millis = expectedMillis(view, request, nowNanos);
             if (millis < bestMillis) {
                 best = view;
                 bestMillis = millis;
             }
         }
-        return Optional.ofNullable(best)
-                .<Placement>map(Placement.Send::new)
-                .orElseGet(() -> placeWithoutUsableServer(request, nowNanos));
+        return Optional.ofNullable(best);
     }
 
     @Override
@@ -93,7 +111,7 @@
     }
 
     private double expectedMillis(ServerView view, OpenRequest request, long nowNanos) {
-        double millis = view.waitMillis(nowNanos) + view.serviceMillis();
+        double millis = view.waitMillis(nowNanos) + view.serviceMillis(nowNanos);
         boolean isLocal = view.server().dataCentre().equals(fleet.settings().dataCentre());
         double remotePenaltyMillis = isLocal
                 ? 0
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/ReplayedServer.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/ReplayedServer.java
@@ -111,7 +111,8 @@
     }
 
     private LoadReport load() {
-        return new LoadReport(running.size(), waiting.size(), registration.slots());
+        int percent = (int) Math.round(noise * LoadReport.USUAL_DURATION_PERCENT);
+        return new LoadReport(running.size(), waiting.size(), registration.slots(), percent);
     }
 
     boolean holdsKey(int key) {
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/WorstLoadReplayTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/WorstLoadReplayTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.function.IntSupplier;
+import java.util.stream.LongStream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.daisyscale.core.serving.KeyMap;
@@ -19,6 +20,9 @@
     /** A hot key's first owner is fast or slow by chance; several seeds cover both cases. */
     private static final int HOT_KEY_SEEDS = 6;
 
+    private static final double[] POOLED_SPEEDS = {0.7, 0.7, 1.6, 0.7, 0.7, 1.6, 0.7, 0.7, 1.6};
+    private static final int POOLED_SEEDS = 6;
+
     private final UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(7);
 
     /** Returns random keys, of which lower ones are more frequent, so that adjacent keys have similar load. */
@@ -126,8 +130,7 @@
 
     @Test
     void shouldPlacePooledRequestsOnUnevenServersWithinTheObjective() {
-        FleetReplay replay =
-                new FleetReplay(4, ROUTERS, new double[] {0.7, 0.7, 1.6, 0.7, 0.7, 1.6, 0.7, 0.7, 1.6}, false);
+        FleetReplay replay = new FleetReplay(4, ROUTERS, POOLED_SPEEDS, false);
         replay.generateLoad(80, WORK_MILLIS, 30_000, () -> -1);
 
         replay.time().runUntilMillis(33_000);
@@ -137,10 +140,27 @@
                 .isGreaterThan(0.9);
     }
 
+    /** Slow moments leave hardly more capacity than the load needs, so requests at slow servers cost others as well. */
+    @Test
+    void shouldPlacePooledRequestsByTheCurrentSpeedOfServers() {
+        double inObjective = LongStream.rangeClosed(1, POOLED_SEEDS)
+                .mapToDouble(seed -> replayPooled(seed, 110).withinObjectiveRatio())
+                .average()
+                .orElseThrow();
+
+        assertThat(inObjective).isGreaterThan(0.92);
+    }
+
+    private static ReplayResult replayPooled(long seed, double perSecond) {
+        FleetReplay replay = new FleetReplay(seed, ROUTERS, POOLED_SPEEDS, false);
+        replay.generateLoad(perSecond, WORK_MILLIS, 30_000, () -> -1);
+        replay.time().runUntilMillis(33_000);
+        return replay.result();
+    }
+
     @Test
     void shouldServeUpToCapacityDuringABurst() {
-        FleetReplay replay =
-                new FleetReplay(5, ROUTERS, new double[] {0.7, 0.7, 1.6, 0.7, 0.7, 1.6, 0.7, 0.7, 1.6}, false);
+        FleetReplay replay = new FleetReplay(5, ROUTERS, POOLED_SPEEDS, false);
         replay.generateLoad(80, WORK_MILLIS, 30_000, () -> -1);
         replay.time().after(10_000, () -> replay.generateLoad(150, WORK_MILLIS, 15_000, () -> -1));
 
--- /dev/null
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/PlacementUnderLoadTest.java
@@ -0,0 +1,71 @@
+package org.daisyscale.core.serving;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against decisions that cost callers under load although the router knows better. */
+class PlacementUnderLoadTest {
+    private static final long MILLI = 1_000_000L;
+
+    private final RequestRouter router =
+            RequestRouter.create(new ServingSettings("r1", "dc1", 1, 1.5, 5, 0.2, 60, 10_000, 2_000, 5_000));
+    private long nowNanos = 1;
+    private long lastRequestId;
+
+    @BeforeEach
+    void configure() {
+        Route route = new Route("r", "h", "/", true, 800, 400, 1, 2, List.of(new Route.WeightedService("pooled", 1)));
+        ServiceRules rules = new ServiceRules("pooled", "", 120, 0, 7, false, 0);
+        handle(new ServingEvent.TableChanged(
+                new RoutingTable(1, List.of(route), Map.of("pooled", rules), new RequestLimits(1, 1, 1, 1))));
+        handle(new ServingEvent.ServerChanged(server("s1", "dc1")));
+        handle(new ServingEvent.ServerChanged(server("s2", "dc1")));
+    }
+
+    private static BackendServer server(String id, String dataCentre) {
+        return new BackendServer(id, 7, "pooled", "10.0.0." + id.charAt(1), 80, dataCentre, 3, false, 0);
+    }
+
+    private List<ServingAction> handle(ServingEvent event) {
+        return router.handle(event, nowNanos);
+    }
+
+    private String arrive() {
+        RequestHead head = new RequestHead("h", "/x", 1_500, RequestHead.NO_KEY, 0, "id");
+        return handle(new ServingEvent.RequestArrived(++lastRequestId, head, nowNanos)).stream()
+                .filter(ServingAction.SendAttempt.class::isInstance)
+                .map(action -> ((ServingAction.SendAttempt) action).server().id())
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private void answerLast(long elapsedMillis, LoadReport load) {
+        nowNanos += elapsedMillis * MILLI;
+        handle(new ServingEvent.AttemptEnded(lastRequestId, 1, AttemptOutcome.ANSWERED, Optional.of(load)));
+    }
+
+    @Test
+    void shouldSendNothingToAServerInASlowMomentWhileAnotherIsFree() {
+        String slow = arrive();
+        answerLast(100, new LoadReport(0, 0, 3, 300));
+
+        for (int request = 0; request < 3; request++) {
+            nowNanos += 100 * MILLI;
+            assertThat(arrive()).isNotEqualTo(slow);
+        }
+    }
+
+    @Test
+    void shouldUseAServerAgainOnceItsSlowMomentIsOver() {
+        String slow = arrive();
+        answerLast(100, new LoadReport(0, 0, 3, 300));
+        nowNanos += 500 * MILLI;
+
+        assertThat(List.of(arrive(), arrive(), arrive(), arrive())).contains(slow);
+    }
+}
