Estimate other routers' requests from the reports of all servers of a service

Between two reports, the estimate of a server's requests from other routers tended to the mean of that server's own reports, which are seconds apart. In a burst each router therefore filled the servers that had reported longest ago. It now tends to the level of all reports of the service (ServiceLevel), at which routers that choose the shortest wait keep its servers. Services whose keys have owners keep the mean of each server.

--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/FleetView.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/FleetView.java
@@ -62,6 +62,7 @@
         configuration.replace(newer, source);
         routes = new RouteIndex(newer);
         organisations = new OrganisationIndex(newer.organisations());
+        newer.services().forEach((name, rules) -> servers.level(name).share(!rules.isSharded()));
         return true;
     }
 
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/ServerRegistry.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/ServerRegistry.java
@@ -14,6 +14,7 @@
     private final Map<String, ServerView> viewById = new HashMap<>();
     private final Map<String, List<ServerView>> viewsByService = new HashMap<>();
     private final Map<String, ColdStartLimiter> removedLimiterById = new HashMap<>();
+    private final Map<String, ServiceLevel> levelByService = new HashMap<>();
     private final Map<String, Long> evacuatedSinceNanos = new HashMap<>();
 
     /** Replaces all known servers by {@code servers}. */
@@ -41,7 +42,7 @@
         remove(server.id(), nowNanos);
         ColdStartLimiter limiter =
                 Optional.ofNullable(removedLimiterById.remove(server.id())).orElseGet(ColdStartLimiter::new);
-        ServerView view = new ServerView(server, limiter, nowNanos);
+        ServerView view = new ServerView(server, limiter, level(server.service()), nowNanos);
         viewById.put(server.id(), view);
         viewsByService
                 .computeIfAbsent(server.service(), name -> new ArrayList<>())
@@ -65,6 +66,11 @@
         }
     }
 
+    /** Returns the load that other routers cause at the servers of {@code service}. */
+    ServiceLevel level(String service) {
+        return levelByService.computeIfAbsent(service, name -> new ServiceLevel());
+    }
+
     Optional<ServerView> find(String serverId) {
         return Optional.ofNullable(viewById.get(serverId));
     }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/ServerView.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/ServerView.java
@@ -34,6 +34,7 @@
 
     private final Map<Long, Long> sentNanosByRequest = new LinkedHashMap<>();
     private final ColdStartLimiter coldStartLimiter;
+    private final ServiceLevel serviceLevel;
     private final WorkDuration workDuration = new WorkDuration();
     private BackendServer server;
     private double otherInFlightMean;
@@ -52,9 +53,10 @@
     private boolean isLeaving;
     private long leavingSinceNanos;
 
-    ServerView(BackendServer server, ColdStartLimiter coldStartLimiter, long nowNanos) {
+    ServerView(BackendServer server, ColdStartLimiter coldStartLimiter, ServiceLevel serviceLevel, long nowNanos) {
         this.server = server;
         this.coldStartLimiter = coldStartLimiter;
+        this.serviceLevel = serviceLevel;
         update(server, UNKNOWN_AGE_MILLIS, nowNanos);
     }
 
@@ -136,6 +138,7 @@
         otherInFlightMean += REPORT_WEIGHT * (otherInFlightReported - otherInFlightMean);
         reportedNanos = nowNanos;
         hasReport = true;
+        serviceLevel.record(otherInFlightReported / server.slots() * serviceMillis(nowNanos));
         workDuration.record(load.workDurationFactor(), nowNanos);
     }
 
@@ -205,7 +208,10 @@
             return 0;
         }
         double reportWeight = Math.exp(-(nowNanos - reportedNanos) / NANOS_PER_MILLI / REPORT_DECAY_MILLIS);
-        return otherInFlightReported * reportWeight + otherInFlightMean * (1 - reportWeight);
+        double usualCount = serviceLevel.isShared()
+                ? serviceLevel.millis() * server.slots() / serviceMillis(nowNanos)
+                : otherInFlightMean;
+        return otherInFlightReported * reportWeight + usualCount * (1 - reportWeight);
     }
 
     /** Returns the expected wait of one more request for a slot, in milliseconds. */
