Admit less urgent requests to shorter waits while a service is short of room

Admission looked at each request's own latency objective. Under shortage, kinds with a long objective filled the queues up to waits at which urgent kinds with a short one were refused. For 1 s after a refusal, a request may now wait half as long as each recent, more urgent kind of its service; a kind whose admitted part falls below 0.4 of the mean is not limited. The refusal's detail names the wait, its limit and the priority.

--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/Admission.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/Admission.java
@@ -6,7 +6,7 @@
 /**
  * Rejects requests whose answer would be late, before they reach a server. An answer after the caller's deadline is
  * useless, and one far beyond the latency objective takes a slot from a request that could still meet it. This limits
- * the damage of bursts and retry storms. Stateless.
+ * the damage of bursts and retry storms. Not thread-safe; confined to the core thread.
  */
 final class Admission {
     /** Fast service time as a fraction of the mean; a request that misses its deadline even so is rejected. */
@@ -14,26 +14,39 @@
     /** Minimum retry-after advice, in milliseconds; about one service time. */
     private static final double MIN_RETRY_AFTER_MILLIS = 100;
 
-    private Admission() {}
+    private final PriorityShares shares = new PriorityShares();
 
     /**
      * Returns a rejection if {@code request} would have to wait for a slot of {@code view}'s server and its answer
-     * would come after its deadline or later than {@code objectiveFraction} of its latency objective; empty otherwise.
+     * would come after its deadline or later than {@code objectiveFraction} of its latency objective, or if the wait is
+     * left to more urgent requests; empty otherwise.
      */
-    static Optional<Placement.Reject> rejection(
+    Optional<Placement.Reject> rejection(
             OpenRequest request, ServerView view, double objectiveFraction, long nowNanos) {
         double waitMillis = view.waitMillis(nowNanos);
-        double expectedMillis = waitMillis + view.serviceMillis(nowNanos);
-        double objectiveMillis = request.route().targetLatencyMillis() * objectiveFraction;
-        boolean missesDeadline =
-                waitMillis + view.serviceMillis(nowNanos) * FAST_SERVICE_FRACTION > request.timeLeftMillis(nowNanos);
-        boolean isLate = missesDeadline || request.ageMillis(nowNanos) + expectedMillis > objectiveMillis;
-        if (waitMillis == 0 || !isLate) {
+        double maxWaitMillis = maxWaitMillis(request, view, objectiveFraction, nowNanos);
+        boolean isAdmitted = waitMillis == 0 || waitMillis <= shares.limitMillis(request, maxWaitMillis, nowNanos);
+        shares.record(request, maxWaitMillis, isAdmitted, nowNanos);
+        if (isAdmitted) {
             return Optional.empty();
         }
-        String detail = "server=%s busy=%.1f expectedMillis=%.0f"
-                .formatted(view.server().id(), view.inFlightEstimate(nowNanos), expectedMillis);
+        String detail = "server=%s busy=%.1f waitMillis=%.0f maxWaitMillis=%.0f priority=%d"
+                .formatted(
+                        view.server().id(),
+                        view.inFlightEstimate(nowNanos),
+                        waitMillis,
+                        maxWaitMillis,
+                        request.priority());
         long retryAfterMillis = (long) Math.max(MIN_RETRY_AFTER_MILLIS, waitMillis);
         return Optional.of(new Placement.Reject(CoreErrorCode.OVERLOADED, detail, retryAfterMillis));
     }
+
+    /** Returns how long {@code request} may wait so that its answer is in time, in milliseconds. */
+    private static double maxWaitMillis(OpenRequest request, ServerView view, double objectiveFraction, long nowNanos) {
+        double objectiveMillis = request.route().targetLatencyMillis() * objectiveFraction;
+        double serviceMillis = view.serviceMillis(nowNanos);
+        return Math.min(
+                objectiveMillis - request.ageMillis(nowNanos) - serviceMillis,
+                request.timeLeftMillis(nowNanos) - serviceMillis * FAST_SERVICE_FRACTION);
+    }
 }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
@@ -60,6 +60,7 @@
     private final WeightedSplitter splitter = new WeightedSplitter();
     private final RequestTimers timers = new RequestTimers();
     private final HealthChecks healthChecks;
+    private final Admission admission = new Admission();
     private final LostRequests lostRequests = new LostRequests();
     private final KeyLoadRecorder keyLoadRecorder;
     private final Map<Long, OpenRequest> openById = new HashMap<>();
@@ -232,7 +233,7 @@
 
     private void sendOrReject(OpenRequest request, ServerView view, long nowNanos) {
         Optional<Placement.Reject> rejection =
-                Admission.rejection(request, view, placer(request).objectiveFraction(), nowNanos);
+                admission.rejection(request, view, placer(request).objectiveFraction(), nowNanos);
         if (rejection.isPresent()) {
             rejectOpen(request, rejection.get());
             return;
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/FleetReplay.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/FleetReplay.java
@@ -35,6 +35,12 @@
     static final long OBJECTIVE_MILLIS = 400;
     static final long CALLER_TIMEOUT_MILLIS = 1_500;
 
+    static final String USUAL = "/x";
+    /** The path of requests that are the most urgent. */
+    static final String URGENT = "/urgent/";
+    /** The path of the least urgent requests, which may take three times as long as others. */
+    static final String PATIENT = "/patient/";
+
     private static final double NOISY_FRACTION = 0.2;
     private static final double NOISE_FACTOR = 3;
     private static final double NOISE_PERIOD_MILLIS = 400;
@@ -101,8 +107,21 @@
     private RoutingTable table() {
         Route route = new Route(
                 "r", "h", "/", true, 800, OBJECTIVE_MILLIS, 1, 2, List.of(new Route.WeightedService(SERVICE, 1)));
+        Route urgent = new Route(
+                "urgent",
+                "h",
+                URGENT,
+                true,
+                800,
+                OBJECTIVE_MILLIS,
+                0,
+                2,
+                List.of(new Route.WeightedService(SERVICE, 1)));
+        Route patient = new Route(
+                "patient", "h", PATIENT, true, 1_400, 1_200, 2, 2, List.of(new Route.WeightedService(SERVICE, 1)));
         ServiceRules rules = new ServiceRules(SERVICE, "/health", 120, 3_000, 7, isSharded, 5_000);
-        return new RoutingTable(1, List.of(route), Map.of(SERVICE, rules), new RequestLimits(1, 1, 1, 1));
+        return new RoutingTable(
+                1, List.of(route, urgent, patient), Map.of(SERVICE, rules), new RequestLimits(1, 1, 1, 1));
     }
 
     /** Registers a new server that is cold for {@code coldMillis}. */
@@ -182,7 +201,7 @@
             time.after(NETWORK_DELAY_MILLIS, () -> arrive(router, send, caller));
         } else if (action instanceof ServingAction.Deliver deliver) {
             Caller caller = callerById.remove(deliver.requestId());
-            result.recordAnswered(time.nowMillis() - caller.startMillis());
+            result.recordAnswered(caller.path(), time.nowMillis() - caller.startMillis());
         } else if (action instanceof ServingAction.Reject rejection) {
             handleRejection(callerById.remove(rejection.requestId()), rejection);
         } else if (action instanceof ServingAction.ReportKeyLoad report) {
@@ -221,7 +240,7 @@
             double waitMillis = Math.min(rejection.retryAfterMillis(), leftMillis / 3);
             time.after(waitMillis, () -> sendRequest(caller.forRetry()));
         } else {
-            result.recordLost();
+            result.recordLost(caller.path());
         }
     }
 
@@ -230,17 +249,22 @@
         callerById.put(requestId, caller);
         long leftMillis = (long) (CALLER_TIMEOUT_MILLIS - (time.nowMillis() - caller.startMillis()));
         int router = random.nextInt(routers.size());
-        RequestHead head = new RequestHead("h", "/x", Math.max(1, leftMillis), caller.key(), 0, "");
+        RequestHead head = new RequestHead("h", caller.path(), Math.max(1, leftMillis), caller.key(), 0, "");
         handle(router, new ServingEvent.RequestArrived(requestId, head, time.nowNanos()));
     }
 
     /** Sends requests at the mean rate {@code perSecond} until {@code endMillis}, with keys from {@code keys}. */
     void generateLoad(double perSecond, double workMillis, double endMillis, IntSupplier keys) {
+        generateLoad(USUAL, perSecond, workMillis, endMillis, keys);
+    }
+
+    /** Sends requests for {@code path} at the mean rate {@code perSecond} until {@code endMillis}. */
+    void generateLoad(String path, double perSecond, double workMillis, double endMillis, IntSupplier keys) {
         time.after(-Math.log(1 - random.nextDouble()) * 1_000 / perSecond, () -> {
             if (time.nowMillis() < endMillis) {
                 double work = workMillis * (0.7 + 0.6 * random.nextDouble());
-                sendRequest(new Caller(time.nowMillis(), keys.getAsInt(), work, true));
-                generateLoad(perSecond, workMillis, endMillis, keys);
+                sendRequest(new Caller(path, time.nowMillis(), keys.getAsInt(), work, true));
+                generateLoad(path, perSecond, workMillis, endMillis, keys);
             }
         });
     }
@@ -328,10 +352,10 @@
         handleByController(new KeyEvent.MapWritten(stored, revision));
     }
 
-    private record Caller(double startMillis, int key, double workMillis, boolean mayRetry) {
+    private record Caller(String path, double startMillis, int key, double workMillis, boolean mayRetry) {
 
         private Caller forRetry() {
-            return new Caller(startMillis, key, workMillis, false);
+            return new Caller(path, startMillis, key, workMillis, false);
         }
     }
 }
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/ReplayResult.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/ReplayResult.java
@@ -1,6 +1,7 @@
 package org.daisyscale.core.replay;
 
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
@@ -11,6 +12,8 @@
 /** Counts the outcomes of a replay. Not thread-safe. */
 final class ReplayResult {
     private final Map<CoreErrorCode, Integer> rejections = new EnumMap<>(CoreErrorCode.class);
+    private final Map<String, Integer> answeredByPath = new HashMap<>();
+    private final Map<String, Integer> lostByPath = new HashMap<>();
     private int withinObjectiveCount;
     private int lateCount;
     private int lostCount;
@@ -18,7 +21,8 @@
     private int reusedFences;
     private double movedRatio;
 
-    void recordAnswered(double latencyMillis) {
+    void recordAnswered(String path, double latencyMillis) {
+        answeredByPath.merge(path, 1, Integer::sum);
         if (latencyMillis <= FleetReplay.OBJECTIVE_MILLIS) {
             withinObjectiveCount++;
         } else {
@@ -30,7 +34,8 @@
         rejections.merge(reason, 1, Integer::sum);
     }
 
-    void recordLost() {
+    void recordLost(String path) {
+        lostByPath.merge(path, 1, Integer::sum);
         lostCount++;
     }
 
@@ -69,6 +74,12 @@
         return (withinObjectiveCount + lateCount) / (double) Math.max(1, withinObjectiveCount + lateCount + lostCount);
     }
 
+    /** Returns the fraction of the callers of {@code path} that were answered at all. */
+    double answeredRatio(String path) {
+        double answered = answeredByPath.getOrDefault(path, 0);
+        return answered / Math.max(1, answered + lostByPath.getOrDefault(path, 0));
+    }
+
     int doubleOwners() {
         return doubleOwners;
     }
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/WorstLoadReplayTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/WorstLoadReplayTest.java
@@ -171,4 +171,21 @@
                 .as(replay.result().toString())
                 .isGreaterThan(0.95 * answerableRatio);
     }
+
+    /** Patient callers would fill the queues up to waits that the objective of urgent ones does not allow. */
+    @Test
+    void shouldServeUrgentCallersAtLeastAsOftenAsPatientOnesUnderShortage() {
+        for (long seed = 1; seed <= POOLED_SEEDS; seed++) {
+            FleetReplay replay = new FleetReplay(seed, ROUTERS, POOLED_SPEEDS, false);
+            replay.generateLoad(FleetReplay.URGENT, 90, WORK_MILLIS, 15_000, () -> -1);
+            replay.generateLoad(FleetReplay.PATIENT, 90, WORK_MILLIS, 15_000, () -> -1);
+            replay.time().runUntilMillis(18_000);
+
+            ReplayResult result = replay.result();
+            double urgent = result.answeredRatio(FleetReplay.URGENT);
+            double patient = result.answeredRatio(FleetReplay.PATIENT);
+            assertThat(urgent).as("patient: %.3f", patient).isGreaterThanOrEqualTo(patient);
+            assertThat(patient).isGreaterThan(result.answeredRatio() / 4);
+        }
+    }
 }
