Spread refused callers over the time that they wait at most

Callers refused for lack of room were told the whole wait at the server plus up to 150 ms. They returned together, and advice beyond a third of the time left, which callers cut, made them return at one moment. ReturnTimes advises them in the order of their refusal, at the rate at which the service ends requests, from the time at which the queue is short enough up to a third of the time left, and then from the front again.

--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/Admission.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/Admission.java
@@ -11,10 +11,13 @@
 final class Admission {
     /** Fast service time as a fraction of the mean; a request that misses its deadline even so is rejected. */
     private static final double FAST_SERVICE_FRACTION = 0.7;
-    /** Minimum retry-after advice, in milliseconds; about one service time. */
-    private static final double MIN_RETRY_AFTER_MILLIS = 100;
 
     private final PriorityShares shares = new PriorityShares();
+    private final ReturnTimes returnTimes;
+
+    Admission(FleetView fleet) {
+        this.returnTimes = new ReturnTimes(fleet);
+    }
 
     /**
      * Returns a rejection if {@code request} would have to wait for a slot of {@code view}'s server and its answer
@@ -25,7 +28,8 @@
             OpenRequest request, ServerView view, double objectiveFraction, long nowNanos) {
         double waitMillis = view.waitMillis(nowNanos);
         double maxWaitMillis = maxWaitMillis(request, view, objectiveFraction, nowNanos);
-        boolean isAdmitted = waitMillis == 0 || waitMillis <= shares.limitMillis(request, maxWaitMillis, nowNanos);
+        double limitMillis = shares.limitMillis(request, maxWaitMillis, nowNanos);
+        boolean isAdmitted = waitMillis == 0 || waitMillis <= limitMillis;
         shares.record(request, maxWaitMillis, isAdmitted, nowNanos);
         if (isAdmitted) {
             return Optional.empty();
@@ -37,8 +41,8 @@
                         waitMillis,
                         maxWaitMillis,
                         request.priority());
-        long retryAfterMillis = (long) Math.max(MIN_RETRY_AFTER_MILLIS, waitMillis);
-        return Optional.of(new Placement.Reject(CoreErrorCode.OVERLOADED, detail, retryAfterMillis));
+        long retryAfterMillis = returnTimes.adviceMillis(request, view, waitMillis - limitMillis, nowNanos);
+        return Optional.of(Placement.Reject.scheduled(CoreErrorCode.OVERLOADED, detail, retryAfterMillis));
     }
 
     /** Returns how long {@code request} may wait so that its answer is in time, in milliseconds. */
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/Placement.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/Placement.java
@@ -23,6 +23,19 @@
      * @param reason the error code
      * @param detail the circumstances, for the log
      * @param retryAfterMillis the retry-after advice, in milliseconds; 0 for none
+     * @param isScheduled whether the advice differs from caller to caller already, so that it needs no jitter
      */
-    record Reject(CoreErrorCode reason, String detail, long retryAfterMillis) implements Placement {}
+    record Reject(CoreErrorCode reason, String detail, long retryAfterMillis, boolean isScheduled)
+            implements Placement {
+
+        /** Creates a rejection whose advice is the same for other callers. */
+        Reject(CoreErrorCode reason, String detail, long retryAfterMillis) {
+            this(reason, detail, retryAfterMillis, false);
+        }
+
+        /** Creates a rejection whose advice is meant for this caller. */
+        static Reject scheduled(CoreErrorCode reason, String detail, long retryAfterMillis) {
+            return new Reject(reason, detail, retryAfterMillis, true);
+        }
+    }
 }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
@@ -60,7 +60,7 @@
     private final WeightedSplitter splitter = new WeightedSplitter();
     private final RequestTimers timers = new RequestTimers();
     private final HealthChecks healthChecks;
-    private final Admission admission = new Admission();
+    private final Admission admission;
     private final LostRequests lostRequests = new LostRequests();
     private final KeyLoadRecorder keyLoadRecorder;
     private final Map<Long, OpenRequest> openById = new HashMap<>();
@@ -71,6 +71,7 @@
         this.random = random;
         this.pooledPlacer = new ShortestWaitPlacer(fleet, random);
         this.ownerPlacer = new OwnerPlacer(fleet);
+        this.admission = new Admission(fleet);
         this.healthChecks = new HealthChecks(fleet);
         this.retryBudget = new RetryBudget(fleet.settings());
         this.retryPolicy = new RetryPolicy(fleet, retryBudget, lostRequests);
@@ -331,6 +332,9 @@
         openById.remove(request.requestId());
         if (request.mayHaveRun()) {
             reject(request.requestId(), CoreErrorCode.OUTCOME_UNKNOWN, rejection.detail(), 0);
+        } else if (rejection.isScheduled()) {
+            actions.add(new ServingAction.Reject(
+                    request.requestId(), rejection.reason(), rejection.detail(), rejection.retryAfterMillis()));
         } else {
             reject(request.requestId(), rejection.reason(), rejection.detail(), rejection.retryAfterMillis());
         }
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/PlacementUnderLoadTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/PlacementUnderLoadTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -68,4 +69,28 @@
 
         assertThat(List.of(arrive(), arrive(), arrive(), arrive())).contains(slow);
     }
+
+    private List<Long> refuse(int count, long timeLeftMillis) {
+        List<Long> adviceMillis = new ArrayList<>();
+        while (adviceMillis.size() < count) {
+            RequestHead head = new RequestHead("h", "/x", timeLeftMillis, RequestHead.NO_KEY, 0, "id");
+            handle(new ServingEvent.RequestArrived(++lastRequestId, head, nowNanos)).stream()
+                    .filter(ServingAction.Reject.class::isInstance)
+                    .forEach(action -> adviceMillis.add(((ServingAction.Reject) action).retryAfterMillis()));
+        }
+        return adviceMillis;
+    }
+
+    @Test
+    void shouldAdviseRefusedCallersToReturnOneAfterTheOther() {
+        List<Long> adviceMillis = refuse(10, 1_500);
+
+        assertThat(adviceMillis).isSorted().doesNotHaveDuplicates();
+        assertThat(adviceMillis.get(9) - adviceMillis.get(0)).isGreaterThan(150);
+    }
+
+    @Test
+    void shouldAdviseNoCallerToWaitLongerThanAThirdOfTheTimeThatItHasLeft() {
+        assertThat(refuse(50, 600)).allMatch(millis -> millis <= 200);
+    }
 }
