Compare the waits of kinds at the same server

The limit of less urgent requests came from the last wait that a more urgent request was allowed at any server, which is short or negative at a slow one. It now comes from the urgent kind's objective and the service time of the server in question.

--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/Admission.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/Admission.java
@@ -28,9 +28,9 @@
             OpenRequest request, ServerView view, double objectiveFraction, long nowNanos) {
         double waitMillis = view.waitMillis(nowNanos);
         double maxWaitMillis = maxWaitMillis(request, view, objectiveFraction, nowNanos);
-        double limitMillis = shares.limitMillis(request, maxWaitMillis, nowNanos);
+        double limitMillis = shares.limitMillis(request, maxWaitMillis, view.serviceMillis(nowNanos), nowNanos);
         boolean isAdmitted = waitMillis == 0 || waitMillis <= limitMillis;
-        shares.record(request, maxWaitMillis, isAdmitted, nowNanos);
+        shares.record(request, request.route().targetLatencyMillis() * objectiveFraction, isAdmitted, nowNanos);
         if (isAdmitted) {
             return Optional.empty();
         }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/PriorityShares.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/PriorityShares.java
@@ -23,27 +23,30 @@
 
     private final Map<String, Service> services = new HashMap<>();
 
-    /** Records whether {@code request}, which may wait for {@code maxWaitMillis}, was admitted. */
-    void record(OpenRequest request, double maxWaitMillis, boolean isAdmitted, long nowNanos) {
+    /** Records whether {@code request}, whose latency should be at most {@code maxMillis}, was admitted. */
+    void record(OpenRequest request, double maxMillis, boolean isAdmitted, long nowNanos) {
         Service service = services.computeIfAbsent(request.service(), name -> new Service());
         service.kinds
                 .computeIfAbsent(request.priority(), priority -> new Kind())
-                .record(maxWaitMillis, isAdmitted, nowNanos);
+                .record(maxMillis, isAdmitted, nowNanos);
         if (!isAdmitted) {
             service.isShort = true;
             service.refusedNanos = nowNanos;
         }
     }
 
-    /** Returns how long {@code request} may wait, in milliseconds, given that its own objective allows it. */
-    double limitMillis(OpenRequest request, double maxWaitMillis, long nowNanos) {
+    /**
+     * Returns how long {@code request} may wait at a server that serves it in {@code serviceMillis}, in milliseconds;
+     * {@code maxWaitMillis}, which its own objective allows, unless more urgent kinds limit it.
+     */
+    double limitMillis(OpenRequest request, double maxWaitMillis, double serviceMillis, long nowNanos) {
         Service service = services.get(request.service());
         if (service == null || !service.isShort(nowNanos) || service.isStarved(request.priority(), nowNanos)) {
             return maxWaitMillis;
         }
         double moreUrgentMillis = service.kinds.headMap(request.priority()).values().stream()
                 .filter(kind -> kind.isRecent(nowNanos))
-                .mapToDouble(kind -> kind.maxWaitMillis)
+                .mapToDouble(kind -> Math.max(0, kind.maxMillis - serviceMillis))
                 .min()
                 .orElse(Double.MAX_VALUE);
         return Math.min(maxWaitMillis, moreUrgentMillis * LESS_URGENT_FRACTION);
@@ -80,13 +83,13 @@
 
         private double offered;
         private double admitted;
-        private double maxWaitMillis;
+        private double maxMillis;
         private long recordedNanos;
 
-        private void record(double waitMillis, boolean isAdmitted, long nowNanos) {
+        private void record(double newMaxMillis, boolean isAdmitted, long nowNanos) {
             offered = offered(nowNanos) + 1;
             admitted = admitted(nowNanos) + (isAdmitted ? 1 : 0);
-            maxWaitMillis = waitMillis;
+            maxMillis = newMaxMillis;
             recordedNanos = nowNanos;
         }
 
