Count the usual response in the cost of another data centre

ShortestWaitPlacer counted the bytes of the request only, so that downloads went to another data centre for a few milliseconds of wait. AttemptEnded now has the size of the response, ResponseSizes its recent mean for each route. The cost of the bytes stops below the latency at which a local server would refuse the request, so that a free server elsewhere is used rather than refusing.

--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/Placement.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/Placement.java
@@ -1,6 +1,7 @@
 package org.daisyscale.core.internal.serving;
 
 import org.daisyscale.core.error.CoreErrorCode;
+import org.daisyscale.core.serving.ServingAction;
 
 /** The decision where a request goes now. Immutable. */
 sealed interface Placement {
@@ -37,5 +38,10 @@
         static Reject scheduled(CoreErrorCode reason, String detail, long retryAfterMillis) {
             return new Reject(reason, detail, retryAfterMillis, true);
         }
+
+        /** Returns the action that rejects the request {@code requestId} with exactly this advice. */
+        ServingAction.Reject forRequest(long requestId) {
+            return new ServingAction.Reject(requestId, reason, detail, retryAfterMillis);
+        }
     }
 }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
@@ -53,7 +53,7 @@
 
     private final FleetView fleet;
     private final UniformRandomProvider random;
-    private final Placer pooledPlacer;
+    private final ShortestWaitPlacer pooledPlacer;
     private final Placer ownerPlacer;
     private final RetryBudget retryBudget;
     private final RetryPolicy retryPolicy;
@@ -297,6 +297,7 @@
         request.endAttempt(outcome.mayHaveRun(), outcome.reachedServer());
         actions.addAll(lostRequests.recordEnd(request, server, outcome, nowNanos));
         if (outcome == AttemptOutcome.ANSWERED) {
+            pooledPlacer.recordResponse(request.route(), ended.responseBytes());
             deliver(request);
         } else if (retryPolicy.mayRetry(request, ended, isKeyed(request), nowNanos)) {
             place(request, nowNanos);
@@ -333,8 +334,7 @@
         if (request.mayHaveRun()) {
             reject(request.requestId(), CoreErrorCode.OUTCOME_UNKNOWN, rejection.detail(), 0);
         } else if (rejection.isScheduled()) {
-            actions.add(new ServingAction.Reject(
-                    request.requestId(), rejection.reason(), rejection.detail(), rejection.retryAfterMillis()));
+            actions.add(rejection.forRequest(request.requestId()));
         } else {
             reject(request.requestId(), rejection.reason(), rejection.detail(), rejection.retryAfterMillis());
         }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/ShortestWaitPlacer.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/ShortestWaitPlacer.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.daisyscale.core.error.CoreErrorCode;
+import org.daisyscale.core.serving.Route;
 
 /**
  * Sends a request to the server with the shortest expected latency, and to none in a slow moment while another of its
@@ -16,7 +17,7 @@
     private static final double FAILURE_WEIGHT = 4;
     /** Penalty of a server in another data centre, in milliseconds; the round trip between data centres. */
     private static final double REMOTE_PENALTY_MILLIS = 5;
-    /** Penalty per kilobyte of the body, in milliseconds; links between data centres are shared and charged for. */
+    /** Penalty per kilobyte of both bodies, in milliseconds; links between data centres are shared and charged for. */
     private static final double REMOTE_PENALTY_MILLIS_PER_KB = 1;
     /** Jitter range as a fraction of each estimate, so that routers with the same view don't pick the same server. */
     private static final double JITTER_FRACTION = 0.2;
@@ -27,6 +28,7 @@
     private static final double OBJECTIVE_FRACTION = 0.9;
 
     private final FleetView fleet;
+    private final ResponseSizes responseSizes = new ResponseSizes();
     private final UniformRandomProvider random;
 
     ShortestWaitPlacer(FleetView fleet, UniformRandomProvider random) {
@@ -67,6 +69,11 @@
         return Optional.ofNullable(best);
     }
 
+    /** Records the size of a response, whose cost later requests for {@code route} count. */
+    void recordResponse(Route route, long bytes) {
+        responseSizes.record(route, bytes);
+    }
+
     @Override
     public double objectiveFraction() {
         return OBJECTIVE_FRACTION;
@@ -111,12 +118,26 @@
     }
 
     private double expectedMillis(ServerView view, OpenRequest request, long nowNanos) {
-        double millis = view.waitMillis(nowNanos) + view.serviceMillis(nowNanos);
-        boolean isLocal = view.server().dataCentre().equals(fleet.settings().dataCentre());
-        double remotePenaltyMillis = isLocal
-                ? 0
-                : REMOTE_PENALTY_MILLIS + request.head().bodyBytes() / 1_000.0 * REMOTE_PENALTY_MILLIS_PER_KB;
         double jitter = 1 + JITTER_FRACTION * (random.nextDouble() - 0.5);
-        return (millis * jitter + remotePenaltyMillis) * (1 + FAILURE_WEIGHT * view.failureRatio());
+        double millis = (view.waitMillis(nowNanos) + view.serviceMillis(nowNanos)) * jitter;
+        boolean isLocal = view.server().dataCentre().equals(fleet.settings().dataCentre());
+        double costMillis = isLocal ? millis : remoteMillis(millis, request, nowNanos);
+        return costMillis * (1 + FAILURE_WEIGHT * view.failureRatio());
+    }
+
+    /**
+     * Returns the cost of a server in another data centre. The cost of the bytes stops below the latency at which a
+     * local server would refuse the request, whatever the jitter of the local estimate.
+     */
+    private double remoteMillis(double millis, OpenRequest request, long nowNanos) {
+        double kilobytes = (request.head().bodyBytes() + responseSizes.meanBytes(request.route())) / 1_000;
+        double nearestMillis = millis + REMOTE_PENALTY_MILLIS;
+        double acceptedMillis =
+                request.route().targetLatencyMillis() * OBJECTIVE_FRACTION - request.ageMillis(nowNanos);
+        return Math.max(
+                nearestMillis,
+                Math.min(
+                        acceptedMillis * (1 - JITTER_FRACTION / 2),
+                        nearestMillis + kilobytes * REMOTE_PENALTY_MILLIS_PER_KB));
     }
 }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingEvent.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingEvent.java
@@ -38,11 +38,23 @@
      * @param outcome how it ended
      * @param load the load that the server reported, if any
      * @param notice what the server announced
+     * @param responseBytes the size of the response's body, in bytes; 0 without a response
      */
     record AttemptEnded(
-            long requestId, int attempt, AttemptOutcome outcome, Optional<LoadReport> load, ServerNotice notice)
+            long requestId,
+            int attempt,
+            AttemptOutcome outcome,
+            Optional<LoadReport> load,
+            ServerNotice notice,
+            long responseBytes)
             implements ServingEvent {
 
+        /** Creates the event of an attempt without a response body. */
+        public AttemptEnded(
+                long requestId, int attempt, AttemptOutcome outcome, Optional<LoadReport> load, ServerNotice notice) {
+            this(requestId, attempt, outcome, load, notice, 0);
+        }
+
         /** Creates the event of an attempt with which the server announced nothing. */
         public AttemptEnded(long requestId, int attempt, AttemptOutcome outcome, Optional<LoadReport> load) {
             this(requestId, attempt, outcome, load, ServerNotice.NONE);
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/PlacementUnderLoadTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/PlacementUnderLoadTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -93,4 +94,28 @@
     void shouldAdviseNoCallerToWaitLongerThanAThirdOfTheTimeThatItHasLeft() {
         assertThat(refuse(50, 600)).allMatch(millis -> millis <= 200);
     }
+
+    /** Leaves one server in each of two data centres and a route whose responses have 200 kB. */
+    private void useLargeResponses() {
+        handle(new ServingEvent.ServerRemoved("s2"));
+        arrive();
+        nowNanos += 100 * MILLI;
+        handle(new ServingEvent.AttemptEnded(
+                lastRequestId, 1, AttemptOutcome.ANSWERED, Optional.empty(), ServerNotice.NONE, 200_000));
+        handle(new ServingEvent.ServerChanged(server("s3", "dc2")));
+    }
+
+    @Test
+    void shouldKeepLargeResponsesInTheDataCentreWhileTheWaitThereIsShort() {
+        useLargeResponses();
+
+        assertThat(List.of(arrive(), arrive(), arrive(), arrive(), arrive())).containsOnly("s1");
+    }
+
+    @Test
+    void shouldUseAnotherDataCentreRatherThanRefuseALargeResponse() {
+        useLargeResponses();
+
+        assertThat(Stream.generate(this::arrive).limit(11)).contains("s3");
+    }
 }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/AttemptSender.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/AttemptSender.java
@@ -97,7 +97,9 @@
         if (end.isAnswered()) {
             exchange.recordReply(end.reply());
         }
-        onEnded.accept(new ServingEvent.AttemptEnded(exchange.requestId(), attempt, outcome, load, notice));
+        long responseBytes = end.isAnswered() ? end.reply().body().length : 0;
+        onEnded.accept(
+                new ServingEvent.AttemptEnded(exchange.requestId(), attempt, outcome, load, notice, responseBytes));
     }
 
     private static AttemptOutcome outcomeOf(HttpCall.Failure failure) {
