--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -12,6 +12,8 @@
 import org.daisyscale.core.keys.KeyController;
 import org.daisyscale.core.keys.KeyEvent;
 import org.daisyscale.core.platform.CoordinationStore;
+import org.daisyscale.core.quota.QuotaEvent;
+import org.daisyscale.core.quota.QuotaLedger;
 import org.daisyscale.core.serving.RequestRouter;
 import org.daisyscale.core.serving.ServingEvent;
 import org.daisyscale.router.internal.assembly.StopSignal;
@@ -39,11 +41,6 @@
     /** Capacity of the ring of each duty that follows the store; a lost event is made up for, see ViewFollower. */
     private static final int FOLLOW_RING_CAPACITY = 256;
 
-    /**
-     * Limit of all buffered request bodies together, in bytes: a quarter of the memory that a router gets on the
-     * smallest VM.
-     */
-    private static final long BODY_BUDGET_BYTES = 80L << 20;
     /**
      * How long the balancer may still send new connections after this router stops being ready, in milliseconds: two
      * health checks.
@@ -57,25 +54,32 @@
     private static final long CHANGE_BATCH_MILLIS = 200;
 
     private static final long STOP_CHECK_MILLIS = 50;
+    /** Time before the end of a stop for sending responses that wait behind others, in milliseconds. */
+    private static final long DELIVERY_MILLIS = 500;
+
     private static final String METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8";
 
     private final ServingRouterSettings settings;
     private final PlatformDialect dialect;
+    private final MemoryShares memory;
     private final ServingMetrics metrics = new ServingMetrics();
     private final Readiness readiness = new Readiness();
     private final ExchangeRegistry exchanges = new ExchangeRegistry();
     private final CallerConnections connections = new CallerConnections();
     private final Ring<ServingEvent> servingEvents = new ArrayRing<>("decisions", RING_CAPACITY);
     private final Ring<KeyEvent> keyEvents = new ArrayRing<>("keys", RING_CAPACITY);
+    private final Ring<QuotaEvent> quotaEvents = new ArrayRing<>("allowances", RING_CAPACITY);
     private final Ring<KeyAction> mapActions = new ArrayRing<>("key-maps", RING_CAPACITY);
 
     /** Creates the assembly without starting it. */
     public ServingAssembly(ServingRouterSettings settings, PlatformDialect dialect) {
         this.settings = settings;
         this.dialect = dialect;
+        this.memory = MemoryShares.ofThisProcess(settings.memoryMb());
         metrics.registerOpenRequests(exchanges::size);
         metrics.registerRingDepth(servingEvents);
         metrics.registerRingDepth(keyEvents);
+        metrics.registerRingDepth(quotaEvents);
     }
 
     /** Runs until {@code stopSignal} requests the stop and the stop is complete. */
@@ -83,7 +87,7 @@
         RatpackServer ready = HttpServers.start(settings.readiness(), this::answerReadiness);
         RatpackServer callers = HttpServers.start(settings.callers(), createCallerHandler());
         EventLog.info("started", "router=" + settings.serving().routerId() + " settings=" + settings);
-        try (HttpLoop loop = HttpLoop.start("calls", this::reportExtraResponse);
+        try (HttpLoop loop = HttpLoop.start("calls", this::reportExtraResponse, memory.backendBytes());
                 ControllerLink controller = new ControllerLink(
                         settings.serving().routerId(),
                         settings.peers(),
@@ -93,17 +97,25 @@
             CoordinationStore store =
                     new CountedStore(new StoreClient(loop, settings.store(), dialect.store()), metrics);
             LeaseDuty lease = createLeaseDuty(store);
+            KeyMapPollDuty polls = new KeyMapPollDuty(
+                    store,
+                    controller::isReceivingKeyMaps,
+                    lease::isControlled,
+                    blockingPut(servingEvents),
+                    System::nanoTime);
+            CoordinationStore listing = new KeyMapListingStore(store, polls::recordListed);
             FleetListeners listeners =
-                    new FleetListeners(dialect.fleet(), blockingPut(servingEvents), blockingPut(keyEvents), readiness);
-            try (DutyThread decisions = DutyThread.start("decisions", createServingDuty(loop, controller)::runStep);
+                    new FleetListeners(dialect.fleet(), fleetEvents(), blockingPut(keyEvents), readiness);
+            QuotaLink quotas = createQuotaLink(controller);
+            try (DutyThread decisions =
+                            DutyThread.start("decisions", createServingDuty(loop, controller, quotas)::runStep);
+                    DutyThread allowances = DutyThread.start("allowances", createQuotaDuty(quotas)::runStep);
                     DutyThread keys = DutyThread.start("keys", createKeyDuty(loop, controller)::runStep);
                     FollowedPrefix operators = followOperators(store, controller, listeners);
                     FollowedPrefix servers = followServers(store, controller, listeners);
-                    FollowedPrefix routers = followRouters(store, controller, listeners, lease);
+                    FollowedPrefix routers = followRouters(listing, controller, listeners, lease);
                     DutyThread leases = DutyThread.start("lease", lease::runStep);
-                    DutyThread polls = DutyThread.start(
-                            "key-map-polls",
-                            new KeyMapPollDuty(store, controller, blockingPut(servingEvents))::runStep);
+                    DutyThread keyMapPolls = DutyThread.start("key-map-polls", polls::runStep);
                     DutyThread maps = DutyThread.start(
                             "key-maps", new KeyMapDuty(store, mapActions, blockingPut(keyEvents))::runStep)) {
                 Optional<RatpackServer> metricsPage = startMetricsPage();
@@ -137,20 +149,46 @@
         RouterEntry self =
                 new RouterEntry(settings.serving().routerId(), peers.host(), peers.port(), 0, settings.cores());
         return new LeaseDuty(
-                store,
-                self,
-                blockingPut(servingEvents),
-                blockingPut(keyEvents),
-                new SuspensionDetector(),
-                System::nanoTime);
+                store, self, blockingPut(servingEvents), leaseEvents(), new SuspensionDetector(), System::nanoTime);
     }
 
     private ServingHandler createCallerHandler() {
-        return new ServingHandler(
-                dialect.callers(), servingEvents, exchanges, connections, new ByteBudget(BODY_BUDGET_BYTES), metrics);
+        ByteBudget budget = new ByteBudget(memory.callerBytes());
+        metrics.registerCallerBytes(budget);
+        return new ServingHandler(dialect.callers(), servingEvents, exchanges, connections, budget, metrics);
+    }
+
+    /** Returns a consumer of what the store contains, which the ledger of the allowances also needs to know. */
+    private Consumer<ServingEvent> fleetEvents() {
+        Consumer<QuotaEvent> quotas = blockingPut(quotaEvents);
+        return blockingPut(servingEvents)
+                .andThen(event -> QuotaDuty.toQuotaEvent(event).ifPresent(quotas));
     }
 
-    private ServingDuty createServingDuty(HttpLoop loop, ControllerLink controller) {
+    private Consumer<KeyEvent> leaseEvents() {
+        Consumer<QuotaEvent> quotas = blockingPut(quotaEvents);
+        return blockingPut(keyEvents)
+                .andThen(event -> QuotaDuty.toQuotaEvent(event).ifPresent(quotas));
+    }
+
+    private QuotaLink createQuotaLink(ControllerLink controller) {
+        QuotaLink quotas = new QuotaLink(
+                settings.serving().routerId(),
+                controller,
+                quotaEvents,
+                blockingPut(servingEvents),
+                ring -> metrics.ringFull(ring.name()));
+        controller.followQuotas(quotas);
+        return quotas;
+    }
+
+    private QuotaDuty createQuotaDuty(QuotaLink quotas) {
+        QuotaLedger ledger = new QuotaLedger(
+                settings.serving().routerId(), settings.serving().quota());
+        return new QuotaDuty(ledger, quotaEvents, quotas, EventLog::info);
+    }
+
+    private ServingDuty createServingDuty(HttpLoop loop, ControllerLink controller, QuotaLink quotas) {
         AttemptSender attempts = new AttemptSender(loop, dialect.backends(), blockingPut(servingEvents)::accept);
         HealthCheckSender healthChecks = new HealthCheckSender(loop, dialect.backends(), blockingPut(servingEvents));
         RequestRouter router = RequestRouter.create(settings.serving());
@@ -162,6 +200,7 @@
                 healthChecks,
                 controller::report,
                 controller::share,
+                quotas::report,
                 EventLog::info,
                 metrics);
     }
@@ -205,8 +244,12 @@
             boolean isListedWhileChanging,
             Consumer<Long> onCurrent) {
         Ring<FollowEvent> inbox = new ArrayRing<>("follow-" + prefix, FOLLOW_RING_CAPACITY);
-        ViewFollower follower =
-                new ViewFollower(new SplittableRandom(), CHANGE_BATCH_MILLIS, isListedWhileChanging, System.nanoTime());
+        ViewFollower follower = new ViewFollower(
+                new SplittableRandom(),
+                CHANGE_BATCH_MILLIS,
+                isListedWhileChanging,
+                !prefix.equals(StoreKeys.PREFIX),
+                System.nanoTime());
         FollowReports reports =
                 new FollowReports(EventLog::info, result -> metrics.controllerUpdate(prefix, result), onCurrent);
         FollowedPrefix followed = FollowedPrefix.start(
@@ -246,6 +289,9 @@
                 connections.startRejecting();
                 connections.closeIdle();
             }
+            if (elapsedMillis >= settings.stopMillis() - DELIVERY_MILLIS) {
+                connections.giveUpBlocking();
+            }
             isDone = elapsedMillis >= settings.stopMillis()
                     || (elapsedMillis > BALANCER_GRACE_MILLIS + STOP_CHECK_MILLIS
                             && exchanges.size() == 0
