--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
@@ -40,11 +40,9 @@
     private static final long UNCERTAIN_RETRY_AFTER_MILLIS = 700;
     /** Maximum wait for a server, as a fraction of the latency objective. */
     private static final double MAX_WAIT_FRACTION = 0.5;
-    /** Jitter added to retry-after advice, in milliseconds, so that callers rejected together don't retry together. */
-    private static final long RETRY_AFTER_JITTER_MILLIS = 150;
 
     private final FleetView fleet;
-    private final UniformRandomProvider random;
+    private final RetryAfterJitter retryAfterJitter;
     private final ShortestWaitPlacer pooledPlacer;
     private final Placer ownerPlacer;
     private final RetryBudget retryBudget;
@@ -61,7 +59,7 @@
 
     RequestCoordinator(FleetView fleet, UniformRandomProvider random) {
         this.fleet = fleet;
-        this.random = random;
+        this.retryAfterJitter = new RetryAfterJitter(random);
         this.pooledPlacer = new ShortestWaitPlacer(fleet, random);
         this.ownerPlacer = new OwnerPlacer(fleet);
         this.admission = new Admission(fleet);
@@ -149,7 +147,7 @@
         if (waitedMillis >= CallerTimeouts.maxUnreadMillis(head)) {
             String detail =
                     "the router is overloaded: it read the request %d ms after its arrival".formatted(waitedMillis);
-            reject(requestId, CoreErrorCode.OVERLOADED, detail, RETRY_AFTER_JITTER_MILLIS);
+            reject(requestId, CoreErrorCode.OVERLOADED, detail, RetryAfterJitter.MAX_MILLIS);
             return;
         }
         long pauseMillis = lostRequests.pauseMillis(arrived.fingerprint(), nowNanos);
@@ -174,7 +172,7 @@
                 requestId,
                 isCurrent ? certain : uncertain,
                 detail,
-                isCurrent ? 0 : jitteredMillis(UNCERTAIN_RETRY_AFTER_MILLIS),
+                isCurrent ? 0 : retryAfterJitter.add(UNCERTAIN_RETRY_AFTER_MILLIS),
                 configuration.describe(nowNanos)));
     }
 
@@ -338,12 +336,7 @@
     }
 
     private void reject(long requestId, CoreErrorCode reason, String detail, long retryAfterMillis) {
-        actions.add(new ServingAction.Reject(requestId, reason, detail, jitteredMillis(retryAfterMillis)));
-    }
-
-    private long jitteredMillis(long retryAfterMillis) {
-        long jitterMillis = Math.min(retryAfterMillis, RETRY_AFTER_JITTER_MILLIS);
-        return jitterMillis == 0 ? 0 : retryAfterMillis + random.nextLong(jitterMillis);
+        actions.add(new ServingAction.Reject(requestId, reason, detail, retryAfterJitter.add(retryAfterMillis)));
     }
 
     void handleCallerLeft(long requestId) {
@@ -396,7 +389,7 @@
                     request.requestId(),
                     CoreErrorCode.OVERLOADED,
                     "no server was available before the deadline",
-                    RETRY_AFTER_JITTER_MILLIS);
+                    RetryAfterJitter.MAX_MILLIS);
         }
     }
 }
