--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
@@ -40,18 +40,17 @@
     private static final long UNCERTAIN_RETRY_AFTER_MILLIS = 700;
     /** Maximum wait for a server, as a fraction of the latency objective. */
     private static final double MAX_WAIT_FRACTION = 0.5;
-    /** Jitter added to retry-after advice, in milliseconds, so that callers rejected together don't retry together. */
-    private static final long RETRY_AFTER_JITTER_MILLIS = 150;
 
     private final FleetView fleet;
-    private final UniformRandomProvider random;
-    private final Placer pooledPlacer;
+    private final RetryAfterJitter retryAfterJitter;
+    private final ShortestWaitPlacer pooledPlacer;
     private final Placer ownerPlacer;
     private final RetryBudget retryBudget;
     private final RetryPolicy retryPolicy;
     private final WeightedSplitter splitter = new WeightedSplitter();
     private final RequestTimers timers = new RequestTimers();
     private final HealthChecks healthChecks;
+    private final Admission admission;
     private final LostRequests lostRequests = new LostRequests();
     private final KeyLoadRecorder keyLoadRecorder;
     private final AllowanceGate allowances;
@@ -60,9 +59,10 @@
 
     RequestCoordinator(FleetView fleet, UniformRandomProvider random) {
         this.fleet = fleet;
-        this.random = random;
+        this.retryAfterJitter = new RetryAfterJitter(random);
         this.pooledPlacer = new ShortestWaitPlacer(fleet, random);
         this.ownerPlacer = new OwnerPlacer(fleet);
+        this.admission = new Admission(fleet);
         this.healthChecks = new HealthChecks(fleet);
         this.retryBudget = new RetryBudget(fleet.settings());
         this.retryPolicy = new RetryPolicy(fleet, retryBudget, lostRequests);
@@ -147,7 +147,7 @@
         if (waitedMillis >= CallerTimeouts.maxUnreadMillis(head)) {
             String detail =
                     "the router is overloaded: it read the request %d ms after its arrival".formatted(waitedMillis);
-            reject(requestId, CoreErrorCode.OVERLOADED, detail, RETRY_AFTER_JITTER_MILLIS);
+            reject(requestId, CoreErrorCode.OVERLOADED, detail, RetryAfterJitter.MAX_MILLIS);
             return;
         }
         long pauseMillis = lostRequests.pauseMillis(arrived.fingerprint(), nowNanos);
@@ -172,7 +172,7 @@
                 requestId,
                 isCurrent ? certain : uncertain,
                 detail,
-                isCurrent ? 0 : jitteredMillis(UNCERTAIN_RETRY_AFTER_MILLIS),
+                isCurrent ? 0 : retryAfterJitter.add(UNCERTAIN_RETRY_AFTER_MILLIS),
                 configuration.describe(nowNanos)));
     }
 
@@ -231,7 +231,7 @@
 
     private void sendOrReject(OpenRequest request, ServerView view, long nowNanos) {
         Optional<Placement.Reject> rejection =
-                Admission.rejection(request, view, placer(request).objectiveFraction(), nowNanos);
+                admission.rejection(request, view, placer(request).objectiveFraction(), nowNanos);
         if (rejection.isPresent()) {
             rejectOpen(request, rejection.get());
             return;
@@ -294,6 +294,7 @@
         allowances.recordEnd(request, outcome, nowNanos);
         actions.addAll(lostRequests.recordEnd(request, server, outcome, nowNanos));
         if (outcome == AttemptOutcome.ANSWERED) {
+            pooledPlacer.recordResponse(request.route(), ended.responseBytes());
             deliver(request);
         } else if (allowances.mayRepeat(request, nowNanos)
                 && retryPolicy.mayRetry(request, ended, isKeyed(request), nowNanos)) {
@@ -327,18 +328,15 @@
         close(request);
         if (request.mayHaveRun()) {
             reject(request.requestId(), CoreErrorCode.OUTCOME_UNKNOWN, rejection.detail(), 0);
+        } else if (rejection.isScheduled()) {
+            actions.add(rejection.forRequest(request.requestId()));
         } else {
             reject(request.requestId(), rejection.reason(), rejection.detail(), rejection.retryAfterMillis());
         }
     }
 
     private void reject(long requestId, CoreErrorCode reason, String detail, long retryAfterMillis) {
-        actions.add(new ServingAction.Reject(requestId, reason, detail, jitteredMillis(retryAfterMillis)));
-    }
-
-    private long jitteredMillis(long retryAfterMillis) {
-        long jitterMillis = Math.min(retryAfterMillis, RETRY_AFTER_JITTER_MILLIS);
-        return jitterMillis == 0 ? 0 : retryAfterMillis + random.nextLong(jitterMillis);
+        actions.add(new ServingAction.Reject(requestId, reason, detail, retryAfterJitter.add(retryAfterMillis)));
     }
 
     void handleCallerLeft(long requestId) {
@@ -391,7 +389,7 @@
                     request.requestId(),
                     CoreErrorCode.OVERLOADED,
                     "no server was available before the deadline",
-                    RETRY_AFTER_JITTER_MILLIS);
+                    RetryAfterJitter.MAX_MILLIS);
         }
     }
 }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/ShortestWaitPlacer.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/ShortestWaitPlacer.java
@@ -1,11 +1,14 @@
 package org.daisyscale.core.internal.serving;
 
+import java.util.List;
 import java.util.Optional;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.daisyscale.core.error.CoreErrorCode;
+import org.daisyscale.core.serving.Route;
 
 /**
- * Sends a request to the server with the shortest expected latency. Failures increase the expected latency of a server;
+ * Sends a request to the server with the shortest expected latency, and to none in a slow moment while another of its
+ * data centre is free. Failures increase the expected latency of a server;
  * a cold server gets requests only within its quota, and an unresponsive one only while at most one of this router's
  * requests is in flight there. Not thread-safe; confined to the core thread.
  */
@@ -14,7 +17,7 @@
     private static final double FAILURE_WEIGHT = 4;
     /** Penalty of a server in another data centre, in milliseconds; the round trip between data centres. */
     private static final double REMOTE_PENALTY_MILLIS = 5;
-    /** Penalty per kilobyte of the body, in milliseconds; links between data centres are shared and charged for. */
+    /** Penalty per kilobyte of both bodies, in milliseconds; links between data centres are shared and charged for. */
     private static final double REMOTE_PENALTY_MILLIS_PER_KB = 1;
     /** Jitter range as a fraction of each estimate, so that routers with the same view don't pick the same server. */
     private static final double JITTER_FRACTION = 0.2;
@@ -25,6 +28,7 @@
     private static final double OBJECTIVE_FRACTION = 0.9;
 
     private final FleetView fleet;
+    private final ResponseSizes responseSizes = new ResponseSizes();
     private final UniformRandomProvider random;
 
     ShortestWaitPlacer(FleetView fleet, UniformRandomProvider random) {
@@ -34,19 +38,40 @@
 
     @Override
     public Placement place(OpenRequest request, long nowNanos) {
+        List<ServerView> usable = fleet.servers().ofService(request.service()).stream()
+                .filter(view -> isUsable(view, request, nowNanos))
+                .toList();
+        return cheapest(usable, request, nowNanos)
+                .map(best -> best.isSlow(nowNanos) ? steadyInstead(best, usable, request, nowNanos) : best)
+                .<Placement>map(Placement.Send::new)
+                .orElseGet(() -> placeWithoutUsableServer(request, nowNanos));
+    }
+
+    /** Returns a free server in the data centre of {@code slow} that is in no slow moment; {@code slow} for none. */
+    private ServerView steadyInstead(ServerView slow, List<ServerView> usable, OpenRequest request, long nowNanos) {
+        List<ServerView> steady = usable.stream()
+                .filter(view -> !view.isSlow(nowNanos) && view.waitMillis(nowNanos) == 0)
+                .filter(view -> view.server().dataCentre().equals(slow.server().dataCentre()))
+                .toList();
+        return cheapest(steady, request, nowNanos).orElse(slow);
+    }
+
+    private Optional<ServerView> cheapest(List<ServerView> views, OpenRequest request, long nowNanos) {
         ServerView best = null;
         double bestMillis = Double.MAX_VALUE;
-        for (ServerView view : fleet.servers().ofService(request.service())) {
-            double millis =
-                    isUsable(view, request, nowNanos) ? expectedMillis(view, request, nowNanos) : Double.MAX_VALUE;
+        for (ServerView view : views) {
+            double millis = expectedMillis(view, request, nowNanos);
             if (millis < bestMillis) {
                 best = view;
                 bestMillis = millis;
             }
         }
-        return Optional.ofNullable(best)
-                .<Placement>map(Placement.Send::new)
-                .orElseGet(() -> placeWithoutUsableServer(request, nowNanos));
+        return Optional.ofNullable(best);
+    }
+
+    /** Records the size of a response, whose cost later requests for {@code route} count. */
+    void recordResponse(Route route, long bytes) {
+        responseSizes.record(route, bytes);
     }
 
     @Override
@@ -93,12 +118,26 @@
     }
 
     private double expectedMillis(ServerView view, OpenRequest request, long nowNanos) {
-        double millis = view.waitMillis(nowNanos) + view.serviceMillis();
-        boolean isLocal = view.server().dataCentre().equals(fleet.settings().dataCentre());
-        double remotePenaltyMillis = isLocal
-                ? 0
-                : REMOTE_PENALTY_MILLIS + request.head().bodyBytes() / 1_000.0 * REMOTE_PENALTY_MILLIS_PER_KB;
         double jitter = 1 + JITTER_FRACTION * (random.nextDouble() - 0.5);
-        return (millis * jitter + remotePenaltyMillis) * (1 + FAILURE_WEIGHT * view.failureRatio());
+        double millis = (view.waitMillis(nowNanos) + view.serviceMillis(nowNanos)) * jitter;
+        boolean isLocal = view.server().dataCentre().equals(fleet.settings().dataCentre());
+        double costMillis = isLocal ? millis : remoteMillis(millis, request, nowNanos);
+        return costMillis * (1 + FAILURE_WEIGHT * view.failureRatio());
+    }
+
+    /**
+     * Returns the cost of a server in another data centre. The cost of the bytes stops below the latency at which a
+     * local server would refuse the request, whatever the jitter of the local estimate.
+     */
+    private double remoteMillis(double millis, OpenRequest request, long nowNanos) {
+        double kilobytes = (request.head().bodyBytes() + responseSizes.meanBytes(request.route())) / 1_000;
+        double nearestMillis = millis + REMOTE_PENALTY_MILLIS;
+        double acceptedMillis =
+                request.route().targetLatencyMillis() * OBJECTIVE_FRACTION - request.ageMillis(nowNanos);
+        return Math.max(
+                nearestMillis,
+                Math.min(
+                        acceptedMillis * (1 - JITTER_FRACTION / 2),
+                        nearestMillis + kilobytes * REMOTE_PENALTY_MILLIS_PER_KB));
     }
 }
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/WorstLoadReplayTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/WorstLoadReplayTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.function.IntSupplier;
+import java.util.stream.LongStream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.daisyscale.core.serving.KeyMap;
@@ -19,6 +20,11 @@
     /** A hot key's first owner is fast or slow by chance; several seeds cover both cases. */
     private static final int HOT_KEY_SEEDS = 6;
 
+    private static final double[] POOLED_SPEEDS = {0.7, 0.7, 1.6, 0.7, 0.7, 1.6, 0.7, 0.7, 1.6};
+    private static final int POOLED_SEEDS = 6;
+    /** The standard deviation of the ratio between seeds is 0.03. */
+    private static final int BURST_SEEDS = 24;
+
     private final UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(7);
 
     /** Returns random keys, of which lower ones are more frequent, so that adjacent keys have similar load. */
@@ -126,8 +132,7 @@
 
     @Test
     void shouldPlacePooledRequestsOnUnevenServersWithinTheObjective() {
-        FleetReplay replay =
-                new FleetReplay(4, ROUTERS, new double[] {0.7, 0.7, 1.6, 0.7, 0.7, 1.6, 0.7, 0.7, 1.6}, false);
+        FleetReplay replay = new FleetReplay(4, ROUTERS, POOLED_SPEEDS, false);
         replay.generateLoad(80, WORK_MILLIS, 30_000, () -> -1);
 
         replay.time().runUntilMillis(33_000);
@@ -137,18 +142,65 @@
                 .isGreaterThan(0.9);
     }
 
+    /** Slow moments leave hardly more capacity than the load needs, so requests at slow servers cost others as well. */
     @Test
-    void shouldServeUpToCapacityDuringABurst() {
-        FleetReplay replay =
-                new FleetReplay(5, ROUTERS, new double[] {0.7, 0.7, 1.6, 0.7, 0.7, 1.6, 0.7, 0.7, 1.6}, false);
-        replay.generateLoad(80, WORK_MILLIS, 30_000, () -> -1);
-        replay.time().after(10_000, () -> replay.generateLoad(150, WORK_MILLIS, 15_000, () -> -1));
+    void shouldPlacePooledRequestsByTheCurrentSpeedOfServers() {
+        double inObjective = LongStream.rangeClosed(1, POOLED_SEEDS)
+                .mapToDouble(seed -> replayPooled(seed, 110).withinObjectiveRatio())
+                .average()
+                .orElseThrow();
 
+        assertThat(inObjective).isGreaterThan(0.92);
+    }
+
+    private static ReplayResult replayPooled(long seed, double perSecond) {
+        FleetReplay replay = new FleetReplay(seed, ROUTERS, POOLED_SPEEDS, false);
+        replay.generateLoad(perSecond, WORK_MILLIS, 30_000, () -> -1);
         replay.time().runUntilMillis(33_000);
+        return replay.result();
+    }
+
+    @Test
+    void shouldServeUpToCapacityDuringABurst() {
+        ReplayResult result = replayBurst(5);
 
         double answerableRatio = 1 - (80 + 150 - 160) * 5.0 / (80 * 30 + 150 * 5);
-        assertThat(replay.result().answeredRatio())
-                .as(replay.result().toString())
-                .isGreaterThan(0.95 * answerableRatio);
+        assertThat(result.answeredRatio()).as(result.toString()).isGreaterThan(0.95 * answerableRatio);
+    }
+
+    /** Patient callers would fill the queues up to waits that the objective of urgent ones does not allow. */
+    @Test
+    void shouldServeUrgentCallersAtLeastAsOftenAsPatientOnesUnderShortage() {
+        for (long seed = 1; seed <= POOLED_SEEDS; seed++) {
+            FleetReplay replay = new FleetReplay(seed, ROUTERS, POOLED_SPEEDS, false);
+            replay.generateLoad(FleetReplay.URGENT, 90, WORK_MILLIS, 15_000, () -> -1);
+            replay.generateLoad(FleetReplay.PATIENT, 90, WORK_MILLIS, 15_000, () -> -1);
+            replay.time().runUntilMillis(18_000);
+
+            ReplayResult result = replay.result();
+            double urgent = result.answeredRatio(FleetReplay.URGENT);
+            double patient = result.answeredRatio(FleetReplay.PATIENT);
+            assertThat(urgent).as("patient: %.3f", patient).isGreaterThanOrEqualTo(patient);
+            assertThat(patient).isGreaterThan(result.answeredRatio() / 4);
+        }
+    }
+
+    /** Refused callers that return together, or to servers that other routers fill as well, miss the objective. */
+    @Test
+    void shouldServeFourFifthsOfTheCallersWithinTheObjectiveDuringABurst() {
+        double inObjective = LongStream.rangeClosed(1, BURST_SEEDS)
+                .mapToDouble(seed -> replayBurst(seed).withinObjectiveRatio())
+                .average()
+                .orElseThrow();
+
+        assertThat(inObjective).isGreaterThan(0.8);
+    }
+
+    private static ReplayResult replayBurst(long seed) {
+        FleetReplay replay = new FleetReplay(seed, ROUTERS, POOLED_SPEEDS, false);
+        replay.generateLoad(80, WORK_MILLIS, 30_000, () -> -1);
+        replay.time().after(10_000, () -> replay.generateLoad(150, WORK_MILLIS, 15_000, () -> -1));
+        replay.time().runUntilMillis(33_000);
+        return replay.result();
     }
 }
