--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/QuotaLink.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/QuotaLink.java
@@ -38,8 +38,8 @@
 
     /**
      * Sends {@code report} to the router that keeps the ledger, if one is known. Never blocks. A router that is cut off
-     * from the store doesn't read who the new controller is, but is connected by it and hears of its ledger. Each
-     * ledger counts only what it granted itself, so a report to a former controller costs at most the credits it wanted.
+     * from the store doesn't read who the new controller is, but is connected by it and hears of its ledger. A ledger
+     * counts only what it granted, so a report to a former controller costs at most the credits that it wanted.
      */
     void report(QuotaReport report) {
         ledgerId.or(link::controllerId).ifPresent(controllerId -> {
