Era of the store on the wire: revisions contain it, older responses count as failed

A restored store assigns revisions and lease ids again. StoreClient adds the era of Store-Era to each revision, makes no call that depends on a revision or lease of an older era, and tells a listener of a new one.

--- a/daisyscale-core/src/main/java/org/daisyscale/core/platform/CoordinationStore.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/platform/CoordinationStore.java
@@ -9,7 +9,8 @@
 
 /**
  * The platform's durable key-value store for the routers' shared state. Items are written conditionally, watched by key
- * prefix and may be bound to leases. A single revision counter increases with each change.
+ * prefix and may be bound to leases. A single revision counter increases with each change. Revisions contain the era in
+ * which the store assigned them, see {@link StoreRevision}. A lease ends with the era in which it was granted.
  *
  * <p>Implementations are thread-safe. Each call blocks until it is answered or times out, and throws {@link
  * org.daisyscale.core.error.DaisyscaleException} if the store can't be reached or rejects the call. An unanswered write
@@ -17,6 +18,14 @@
  */
 public interface CoordinationStore {
 
+    /**
+     * Returns the highest era that a response of the store named: it rises by one each time the store is restored from
+     * an older copy. 0 if the store names none.
+     */
+    default long era() {
+        return 0;
+    }
+
     /** Returns the item at {@code key}, or empty if there is none. */
     Optional<Item> get(String key);
 
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/CountedStore.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/CountedStore.java
@@ -15,6 +15,11 @@
         this.metrics = metrics;
     }
 
+    @Override
+    public long era() {
+        return store.era();
+    }
+
     @Override
     public Optional<Item> get(String key) {
         return store.get(key);
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/StoreClient.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/StoreClient.java
@@ -9,13 +9,17 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongConsumer;
 import org.daisyscale.core.platform.CoordinationStore;
+import org.daisyscale.core.platform.StoreRevision;
 import org.daisyscale.core.platform.WriteOutcome;
 import org.daisyscale.router.internal.log.EventLog;
 import org.daisyscale.router.serving.AnswerMatch;
@@ -29,6 +33,9 @@
  * The client of the platform's store. Calls block. Responses bear nothing that names their call, so a write counts as
  * accepted only at a revision above all that this client knew before it sent the write.
  *
+ * <p>The client adds the era of a response to the revisions in it. A call whose response is of an older era than a
+ * response before has failed; one that depends on a revision or a lease of an older era is not made.
+ *
  * <p>Thread-safe, but must not be called by the thread of the event loop.
  */
 public final class StoreClient implements CoordinationStore {
@@ -60,6 +67,9 @@
     private final Address address;
     private final StoreDialect dialect;
     private final long listingTimeoutMillis;
+    private final StoreEra era = new StoreEra();
+    /** The eras in which the leases were granted, by their ids, which a restored store may assign again. */
+    private final Map<Long, Long> eraByLease = new ConcurrentHashMap<>();
     /** The highest revision of an item that was read one by one, or of an accepted write. */
     private final AtomicLong knownRevision = new AtomicLong();
 
@@ -76,9 +86,20 @@
         this.listingTimeoutMillis = listingTimeoutMillis;
     }
 
+    /** Makes {@code listener} receive each new era of the store, on the thread that reads the first response of it. */
+    public void onNewEra(LongConsumer listener) {
+        era.onChange(listener);
+    }
+
+    @Override
+    public long era() {
+        return era.current();
+    }
+
     @Override
     public Optional<Item> get(String key) {
-        Optional<Item> item = dialect.readItem(call(dialect.get(key)));
+        WireReply reply = call(dialect.get(key));
+        Optional<Item> item = dialect.readItem(reply).map(found -> StoreEra.addTo(found, dialect.era(reply)));
         item.ifPresent(found -> recordRevision(found.revision()));
         return item;
     }
@@ -87,7 +108,9 @@
     public Listing list(String prefix) {
         List<Item> items = new ArrayList<>();
         long startNanos = System.nanoTime();
-        StoreDialect.Page page = dialect.readPage(call(dialect.list(prefix, "")));
+        WireReply first = call(dialect.list(prefix, ""));
+        long listedEra = dialect.era(first);
+        StoreDialect.Page page = dialect.readPage(first);
         long revision = page.listing().revision();
         items.addAll(page.listing().items());
         while (page.hasMore() && !page.listing().items().isEmpty()) {
@@ -97,64 +120,129 @@
                 throw new StoreException(StoreException.Code.UNREACHABLE, detail, null);
             }
             String last = items.get(items.size() - 1).key();
-            page = dialect.readPage(call(dialect.list(prefix, last)));
+            WireReply next = call(dialect.list(prefix, last));
+            requireEra(listedEra, next, prefix);
+            page = dialect.readPage(next);
             items.addAll(page.listing().items());
         }
-        return new Listing(items, revision);
+        return StoreEra.addTo(new Listing(items, revision), listedEra);
+    }
+
+    /** Throws unless the page is of the same era as the pages before. */
+    private void requireEra(long listedEra, WireReply page, String prefix) {
+        if (dialect.era(page) != listedEra) {
+            String detail = prefix + ": the store was restored between two pages of the listing";
+            throw new StoreException(StoreException.Code.OLD_ERA, detail, null);
+        }
     }
 
     @Override
     public Optional<Changes> watch(String prefix, long afterRevision, Duration wait, BooleanSupplier isOverdue) {
+        StoreRevision after = StoreRevision.unpack(afterRevision);
+        if (after.era() != era.current()) {
+            EventLog.info("store-watch-obsolete", "prefix=%s revision=%s era=%d".formatted(prefix, after, era()));
+            return Optional.empty();
+        }
         CallTimeouts timeouts = timeouts(wait.toMillis(), WATCH_MARGIN_MILLIS);
-        PendingCall pending = start(dialect.watch(prefix, afterRevision, wait), timeouts);
+        PendingCall pending = start(dialect.watch(prefix, after.revision(), wait), timeouts);
         Optional<HttpCall.End> end = pending.awaitUnless(isOverdue, timeouts);
         if (end.isEmpty()) {
             EventLog.info(
                     "store-watch-overdue",
-                    "prefix=%s revision=%d receivedBytes=%d waitMillis=%d"
-                            .formatted(prefix, afterRevision, pending.call.receivedBytes(), wait.toMillis()));
+                    "prefix=%s revision=%s receivedBytes=%d waitMillis=%d"
+                            .formatted(prefix, after, pending.call.receivedBytes(), wait.toMillis()));
             return Optional.empty();
         }
-        return dialect.readChanges(answer(prefix, end.get()));
+        WireReply reply = answer(prefix, end.get());
+        return dialect.era(reply) == after.era()
+                ? dialect.readChanges(reply).map(changes -> StoreEra.addTo(changes, after.era()))
+                : Optional.empty();
     }
 
     @Override
     public WriteResult write(Change change) {
         long knownBefore = knownRevision.get();
-        HttpCall.End end = end(dialect.write(change));
+        long eraBefore = era.current();
+        if (!isOfEra(change, eraBefore)) {
+            EventLog.info(
+                    "store-write-obsolete",
+                    "key=%s expectedRevision=%s lease=%d era=%d"
+                            .formatted(
+                                    change.key(),
+                                    StoreRevision.unpack(change.expectedRevision()),
+                                    change.leaseId(),
+                                    eraBefore));
+            return new WriteResult(WriteOutcome.REFUSED, 0);
+        }
+        HttpCall.End end = end(dialect.write(StoreEra.removeFrom(change)));
         if (!end.isAnswered()) {
             boolean isUnknown = end.failure() == HttpCall.Failure.LOST || end.failure() == HttpCall.Failure.SPOILED;
             return new WriteResult(isUnknown ? WriteOutcome.UNKNOWN : WriteOutcome.REFUSED, 0);
         }
-        WriteResult result = dialect.readWriteResult(requireAccepted(end.reply()));
+        WireReply reply = requireAccepted(end.reply());
+        WriteResult result = StoreEra.addTo(dialect.readWriteResult(reply), dialect.era(reply));
+        if (result.outcome() == WriteOutcome.ACCEPTED && dialect.era(reply) != eraBefore) {
+            EventLog.warn("store-write-unproved", "key=" + change.key() + ": the store was restored meanwhile");
+            return new WriteResult(WriteOutcome.UNKNOWN, 0);
+        }
         if (result.outcome() == WriteOutcome.ACCEPTED && result.revision() <= knownBefore) {
             EventLog.warn(
                     "store-write-unproved",
-                    "key=%s revision=%d: the response belongs to an earlier call, since revision %d was known before"
-                            .formatted(change.key(), result.revision(), knownBefore));
+                    "key=%s revision=%s: the response belongs to an earlier call, since revision %s was known before"
+                            .formatted(
+                                    change.key(),
+                                    StoreRevision.unpack(result.revision()),
+                                    StoreRevision.unpack(knownBefore)));
             return new WriteResult(WriteOutcome.UNKNOWN, 0);
         }
         recordRevision(result.revision());
         return result;
     }
 
+    /** Returns whether the condition and the lease of {@code change} are of the era {@code current}. */
+    private boolean isOfEra(Change change, long current) {
+        boolean hasCondition = change.expectedRevision() != 0;
+        return (!hasCondition || StoreRevision.eraOf(change.expectedRevision()) == current)
+                && (change.leaseId() == 0 || eraOfLease(change.leaseId()) == current);
+    }
+
     private void recordRevision(long revision) {
         knownRevision.accumulateAndGet(revision, Math::max);
     }
 
     @Override
     public long grantLease(Duration timeToLive) {
-        return dialect.readLease(call(dialect.grantLease(timeToLive)));
+        WireReply reply = call(dialect.grantLease(timeToLive));
+        long leaseId = dialect.readLease(reply);
+        eraByLease.put(leaseId, dialect.era(reply));
+        return leaseId;
+    }
+
+    /** Returns the era of the lease; 0 if this client has not granted it, or not since it ended. */
+    private long eraOfLease(long leaseId) {
+        return eraByLease.getOrDefault(leaseId, 0L);
     }
 
     @Override
     public boolean renewLease(long leaseId) {
-        return dialect.readRenewal(call(dialect.renewLease(leaseId)));
+        long leaseEra = eraOfLease(leaseId);
+        if (leaseEra != era.current()) {
+            return false;
+        }
+        WireReply reply = call(dialect.renewLease(leaseId));
+        boolean isRenewed = dialect.readRenewal(reply) && dialect.era(reply) == leaseEra;
+        if (!isRenewed) {
+            eraByLease.remove(leaseId, leaseEra);
+        }
+        return isRenewed;
     }
 
     @Override
     public void endLease(long leaseId) {
-        call(dialect.endLease(leaseId));
+        if (eraOfLease(leaseId) == era.current()) {
+            call(dialect.endLease(leaseId));
+        }
+        eraByLease.remove(leaseId);
     }
 
     private static CallTimeouts timeouts(long waitMillis, long marginMillis) {
@@ -166,18 +254,25 @@
         return answer(call.target(), end(call));
     }
 
-    private static WireReply answer(String target, HttpCall.End end) {
+    private WireReply answer(String target, HttpCall.End end) {
         if (!end.isAnswered()) {
             String detail = target + ": " + end.failure() + " " + end.detail();
-            throw new StoreException(StoreException.Code.UNREACHABLE, detail, null);
+            boolean isRefused = end.failure() == HttpCall.Failure.CONNECTION_REFUSED;
+            throw new StoreException(
+                    isRefused ? StoreException.Code.CLOSED : StoreException.Code.UNREACHABLE, detail, null);
         }
         return requireAccepted(end.reply());
     }
 
-    private static WireReply requireAccepted(WireReply reply) {
+    private WireReply requireAccepted(WireReply reply) {
+        boolean isCurrent = era.record(dialect.era(reply));
         if (reply.status() == SERVICE_UNAVAILABLE || reply.status() == TOO_MANY_REQUESTS) {
             throw new StoreException(StoreException.Code.TURNED_AWAY, "status " + reply.status(), null);
         }
+        if (!isCurrent) {
+            String detail = "the response is of era %d, and era %d is known".formatted(dialect.era(reply), era());
+            throw new StoreException(StoreException.Code.OLD_ERA, detail, null);
+        }
         return reply;
     }
 
--- a/daisyscale-router/src/main/java/org/daisyscale/router/serving/StoreDialect.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/serving/StoreDialect.java
@@ -14,6 +14,11 @@
  */
 public interface StoreDialect {
 
+    /** Returns the era of the store that sent the response; 0 if the response names none. */
+    default long era(WireReply reply) {
+        return 0;
+    }
+
     /** Returns the call that reads one item. */
     WireCall get(String key);
 
--- a/daisyscale-router/src/main/java/org/daisyscale/router/serving/StoreException.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/serving/StoreException.java
@@ -17,7 +17,12 @@
         UNREACHABLE(
                 "DSC-3301", "The platform's store did not respond", "Check whether the store is down or unreachable"),
         TURNED_AWAY("DSC-3302", "The platform's store rejected the call", "Check the store's load and limits"),
-        UNREADABLE("DSC-3303", "The response of the platform's store can't be parsed", "Compare the store's version");
+        UNREADABLE("DSC-3303", "The response of the platform's store can't be parsed", "Compare the store's version"),
+        OLD_ERA(
+                "DSC-3304",
+                "The response of the platform's store is older than its last restore",
+                "Check for replicas of the store that were not restored"),
+        CLOSED("DSC-3305", "The platform's store refused the connection", "Check whether the store is running");
 
         private final String code;
         private final String summary;
