--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ItemView.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ItemView.java
@@ -1,6 +1,7 @@
 package org.daisyscale.core.following;
 
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -13,11 +14,18 @@
 import org.daisyscale.core.platform.CoordinationStore.Item;
 import org.daisyscale.core.platform.CoordinationStore.ItemChange;
 import org.daisyscale.core.platform.CoordinationStore.Listing;
+import org.daisyscale.core.platform.StoreRevision;
 
 /**
  * A view of the items under one prefix. An item is only ever replaced by a newer version of it, and is removed only by
  * what was read or told later than the item was written. Every change, also the removal of an item that lapsed, changes
- * the digest. Not thread-safe; confined to one thread.
+ * the digest.
+ *
+ * <p>When the store was restored from an older copy, items may be missing, back or back to an older value although
+ * nobody changed them. The view holds what the store has, but its listener is told only with {@link #removeLapsed},
+ * unless the item is written again before.
+ *
+ * <p>Not thread-safe; confined to one thread.
  */
 public final class ItemView implements ViewContents {
     /** Removals that are remembered for followers; one that is further behind gets everything. */
@@ -27,6 +35,7 @@
     private final ViewListener listener;
     private final Map<String, Item> itemByKey = new HashMap<>();
     private final Set<String> lapsedKeys = new LinkedHashSet<>();
+    private final RestoredItems restored = new RestoredItems();
     private final Deque<Removal> removals = new ArrayDeque<>();
     /** The revision of the last removal of each key in {@link #removals}. */
     private final Map<String, Long> removedRevisionByKey = new HashMap<>();
@@ -57,7 +66,8 @@
         listing.items().forEach(item -> listedKeys.add(item.key()));
         for (Item known : List.copyOf(itemByKey.values())) {
             if (!listedKeys.contains(known.key()) && known.revision() <= listing.revision()) {
-                recordMissing(known.key(), listing.revision(), circumstances);
+                boolean isRestored = RestoredItems.isOfOlderEra(known.revision(), listing.revision());
+                recordMissing(known.key(), listing.revision(), isRestored || circumstances.mayHaveLapsed());
             }
         }
         listing.items().stream()
@@ -98,8 +108,11 @@
             }
         } else if (known == null) {
             recordRemoval(change.key(), change.revision());
+            if (restored.remove(change.key())) {
+                listener.onRemoved(change.key());
+            }
         } else if (known.revision() <= change.revision()) {
-            recordMissing(change.key(), change.revision(), circumstances);
+            recordMissing(change.key(), change.revision(), circumstances.mayHaveLapsed());
         }
     }
 
@@ -110,7 +123,8 @@
             update.removedKeys().stream()
                     .filter(key -> !itemByKey.containsKey(key))
                     .forEach(key -> recordRemoval(key, update.version().revision()));
-            keysRemovedBy(update).forEach(key -> remove(key, update.version().revision()));
+            keysRemovedBy(update)
+                    .forEach(key -> removeTold(key, update.version().revision()));
             update.written().forEach(item -> write(item, maxAgeMillis));
             if (revision == 0) {
                 removalsSinceRevision = update.version().revision();
@@ -212,24 +226,34 @@
 
     @Override
     public void removeLapsed() {
-        if (!lapsedKeys.isEmpty()) {
+        if (hasLapsed()) {
             Set.copyOf(lapsedKeys).forEach(key -> remove(key, revision));
+            restored.removeAll().forEach(this::publish);
             listener.onComplete();
         }
     }
 
+    private void publish(String key, long maxAgeMillis) {
+        Item item = itemByKey.get(key);
+        if (item == null) {
+            listener.onRemoved(key);
+        } else {
+            listener.onWritten(item, maxAgeMillis);
+        }
+    }
+
     @Override
     public boolean hasLapsed() {
-        return !lapsedKeys.isEmpty();
+        return !lapsedKeys.isEmpty() || !restored.isEmpty();
     }
 
     @Override
     public String describe() {
-        return "revision=%d items=%d".formatted(revision, itemByKey.size());
+        return "revision=%s items=%d".formatted(StoreRevision.unpack(revision), itemByKey.size());
     }
 
-    private void recordMissing(String key, long removedRevision, ReadCircumstances circumstances) {
-        if (circumstances.mayHaveLapsed()) {
+    private void recordMissing(String key, long removedRevision, boolean mayHaveLapsed) {
+        if (mayHaveLapsed) {
             lapsedKeys.add(key);
         } else {
             remove(key, removedRevision);
@@ -247,18 +271,46 @@
         }
         digest += ItemDigest.of(item.key(), item.revision());
         itemByKey.put(item.key(), item);
-        removedRevisionByKey.remove(item.key());
-        listener.onWritten(item, maxAgeMillis);
+        Long removedRevision = removedRevisionByKey.remove(item.key());
+        long lastRevision = known != null ? known.revision() : removedRevision != null ? removedRevision : 0;
+        if (!restored.holdsBack(item, lastRevision, maxAgeMillis) && !isRestoredUnchanged(known, item)) {
+            listener.onWritten(item, maxAgeMillis);
+        }
+    }
+
+    /** Returns whether only the revision of the item changed, by the era of the restored store. */
+    private static boolean isRestoredUnchanged(Item known, Item item) {
+        return known != null
+                && RestoredItems.isOfOlderEra(known.revision(), item.revision())
+                && Arrays.equals(known.value(), item.value());
+    }
+
+    /** Removes an item that the controller's view lacks; the controller may never have had what a restore lost. */
+    private void removeTold(String key, long removedRevision) {
+        Item known = itemByKey.get(key);
+        if (known != null && RestoredItems.isOfOlderEra(known.revision(), removedRevision)) {
+            forget(known, removedRevision);
+            restored.add(key, 0);
+        } else {
+            remove(key, removedRevision);
+        }
+    }
+
+    private void forget(Item known, long removedRevision) {
+        lapsedKeys.remove(known.key());
+        itemByKey.remove(known.key());
+        digest -= ItemDigest.of(known.key(), known.revision());
+        recordRemoval(known.key(), removedRevision);
     }
 
     private void remove(String key, long removedRevision) {
         lapsedKeys.remove(key);
-        Item known = itemByKey.remove(key);
+        Item known = itemByKey.get(key);
         if (known == null) {
             return;
         }
-        digest -= ItemDigest.of(key, known.revision());
-        recordRemoval(key, removedRevision);
+        forget(known, removedRevision);
+        restored.remove(key);
         listener.onRemoved(key);
     }
 
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/FollowDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/FollowDuty.java
@@ -18,6 +18,7 @@
 import org.daisyscale.core.peer.PeerMessage;
 import org.daisyscale.core.platform.CoordinationStore.Changes;
 import org.daisyscale.core.platform.CoordinationStore.Listing;
+import org.daisyscale.core.platform.StoreRevision;
 import org.daisyscale.router.internal.log.EventLog;
 import org.daisyscale.router.internal.ring.Ring;
 
@@ -56,6 +57,8 @@
     private long readNumber;
     private boolean mustReport;
     private boolean isController;
+    private boolean wasRestored;
+    private long restoredNanos;
     private volatile long currentNanos;
 
     /**
@@ -136,14 +139,36 @@
 
     /** Handles {@code event}; a listener that throws leaves the decisions with what is held now. */
     private void handle(FollowEvent event) {
+        long revisionBefore = contents.version().revision();
         try {
             dispatch(event, clockNanos.getAsLong());
+            recordEra(revisionBefore);
         } catch (RuntimeException e) {
             EventLog.warn("view-event-failed", "prefix=" + prefix + " " + contents.describe(), e);
             follower.recordChanged(contents.version());
         }
     }
 
+    /** Records whether the view is now that of a store which was restored since {@code revisionBefore}. */
+    private void recordEra(long revisionBefore) {
+        StoreRevision before = StoreRevision.unpack(revisionBefore);
+        StoreRevision now = StoreRevision.unpack(contents.version().revision());
+        if (revisionBefore > 0 && now.era() > before.era()) {
+            wasRestored = true;
+            restoredNanos = clockNanos.getAsLong();
+            EventLog.warn(
+                    "view-restored",
+                    "prefix=%s oldEra=%d newEra=%d fromRevision=%s %s: what is missing counts as removed after %d ms"
+                            .formatted(
+                                    prefix,
+                                    before.era(),
+                                    now.era(),
+                                    before,
+                                    contents.describe(),
+                                    REWRITE_GRACE_MILLIS));
+        }
+    }
+
     private void dispatch(FollowEvent event, long nowNanos) {
         if (event instanceof FollowEvent.Reported reported) {
             handleReport(reported, nowNanos);
@@ -249,7 +274,9 @@
     }
 
     private boolean isWithinGrace() {
-        return reachability.hasJustRecovered(REWRITE_GRACE_MILLIS);
+        boolean isJustRestored =
+                wasRestored && clockNanos.getAsLong() - restoredNanos < REWRITE_GRACE_MILLIS * NANOS_PER_MILLI;
+        return isJustRestored || reachability.hasJustRecovered(REWRITE_GRACE_MILLIS);
     }
 
     private void removeLapsed() {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorState.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorState.java
@@ -17,6 +17,7 @@
 import org.daisyscale.core.platform.CoordinationStore.Changes;
 import org.daisyscale.core.platform.CoordinationStore.Item;
 import org.daisyscale.core.platform.CoordinationStore.Listing;
+import org.daisyscale.core.platform.StoreRevision;
 import org.daisyscale.core.serving.ConfigurationSource;
 import org.daisyscale.core.serving.RoutingTable;
 import org.daisyscale.core.serving.RoutingTableChange;
@@ -226,6 +227,14 @@
         }
 
         private void handleRead(Item item, RoutingTable read) {
+            if (read.version() < heldVersion() && isRestored(item)) {
+                // The revision of the newer table stays, so that routers which know only the older one are sent it.
+                EventLog.warn(
+                        "configuration-restored-older",
+                        "version=%d revision=%s: version %d stays in force until a newer one is written"
+                                .formatted(read.version(), StoreRevision.unpack(item.revision()), heldVersion()));
+                return;
+            }
             tableRevision = item.revision();
             EventLog.info(
                     "configuration-seen",
@@ -233,6 +242,10 @@
             applyTable(read, item.revision(), ConfigurationSource.fromStore(item.revision()));
         }
 
+        private boolean isRestored(Item item) {
+            return StoreRevision.eraOf(tableRevision) < StoreRevision.eraOf(item.revision());
+        }
+
         @Override
         public void onRemoved(String key) {
             decoder.evacuatedDataCentre(key).ifPresent(dataCentres::remove);
