Key maps and fences of a restored store lie above all earlier ones

A controller whose control lasted until the restore keeps its newer map; any other one waits for the holds that only a lost map contained.

--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/HoldLedger.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/HoldLedger.java
@@ -42,6 +42,11 @@
         termEndOfOthersNanos = expiryNanos(nowNanos, holdMaxMillis) + MAX_TRANSIT_MILLIS * 1_000_000L;
     }
 
+    /** Returns whether grants from before this controller's term may still be held. */
+    boolean mayOthersHold(long nowNanos) {
+        return termEndOfOthersNanos - nowNanos > 0;
+    }
+
     private static long expiryNanos(long arrivedNanos, long holdMillis) {
         return arrivedNanos + (long) (holdMillis * CLOCK_DRIFT_FACTOR * 1e6);
     }
@@ -104,8 +109,7 @@
     /** Returns whether {@code owner} may hold a key of {@code range}, provided that it has not released it. */
     boolean mayHold(Owner owner, KeyAssignment range, long nowNanos) {
         return !goneOwners.contains(owner)
-                && (termEndOfOthersNanos - nowNanos > 0
-                        || holds(owner, range).anyMatch(hold -> !hold.isOver(nowNanos)));
+                && (mayOthersHold(nowNanos) || holds(owner, range).anyMatch(hold -> !hold.isOver(nowNanos)));
     }
 
     /**
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LeasedKeyController.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LeasedKeyController.java
@@ -37,6 +37,7 @@
     private final CallIdSequence callIds = new CallIdSequence();
     private final OwnerTracker owners = new OwnerTracker();
     private final Map<String, ServiceKeyCoordinator> coordinatorByService = new TreeMap<>();
+    private StoreHistory history = StoreHistory.NONE;
     private boolean isLeaseHeld;
     private boolean isLeading;
     private boolean isInDoubt;
@@ -52,7 +53,8 @@
         List<KeyAction> actions = new ArrayList<>();
         boolean needsStep = nowNanos - nextStepNanos >= 0;
         for (KeyEvent event : events) {
-            needsStep |= handleLeaseEvent(event, actions, nowNanos)
+            needsStep |= handleEraEvent(event)
+                    || handleLeaseEvent(event, actions, nowNanos)
                     || handleMapEvent(event)
                     || handleOtherEvent(event, nowNanos);
         }
@@ -62,6 +64,19 @@
         return actions;
     }
 
+    private boolean handleEraEvent(KeyEvent event) {
+        if (event instanceof KeyEvent.StoreRestored restored) {
+            history = new StoreHistory(restored.era(), true, isLeaseHeld && restored.isControlUnbroken());
+            isLeading = false;
+            isLeaseHeld = false;
+        } else if (event instanceof KeyEvent.EraKnown known) {
+            history = history.inEra(known.era());
+        } else {
+            return false;
+        }
+        return true;
+    }
+
     private boolean handleLeaseEvent(KeyEvent event, List<KeyAction> actions, long nowNanos) {
         if (event instanceof KeyEvent.LeaseRenewed renewed) {
             validUntilNanos = renewed.validUntilNanos();
@@ -100,10 +115,11 @@
         isLeading = true;
         owners.startTerm();
         coordinatorByService.forEach((service, coordinator) -> {
-            coordinator.restart(nowNanos);
+            coordinator.restart(history, nowNanos);
             actions.add(new KeyAction.ReadMap(service));
         });
-        actions.add(new KeyAction.Report("keys-controlled", "services=" + coordinatorByService.keySet()));
+        actions.add(new KeyAction.Report(
+                "keys-controlled", "services=%s era=%d".formatted(coordinatorByService.keySet(), history.era())));
     }
 
     private boolean handleMapEvent(KeyEvent event) {
@@ -179,7 +195,7 @@
         }
         for (String service : registry.shardedServices()) {
             if (coordinator(service).isUnread()) {
-                coordinator(service).restart(nowNanos);
+                coordinator(service).restart(history, nowNanos);
                 actions.add(new KeyAction.ReadMap(service));
             }
         }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/MapDraft.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/MapDraft.java
@@ -13,14 +13,17 @@
 final class MapDraft {
     private final KeyMap base;
     private final List<KeyAssignment> assignments;
+    private final long era;
     private long nextFence;
     private boolean isChanged;
     private boolean hasMoves;
 
-    MapDraft(KeyMap base) {
+    /** Creates a draft of the map that follows {@code base} in {@code era} of the store. */
+    MapDraft(KeyMap base, long era) {
         this.base = base;
         this.assignments = new ArrayList<>(base.assignments());
-        this.nextFence = base.nextFence();
+        this.era = era;
+        this.nextFence = Math.max(base.nextFence(), EraNumbers.first(era));
     }
 
     List<KeyAssignment> assignments() {
@@ -86,7 +89,8 @@
 
     /** Returns the planned map as the next version, with a new block of fences reserved. */
     KeyMap toMap() {
-        return new KeyMap(base.service(), base.version() + 1, 0, nextFence + FenceBlock.SIZE, assignments);
+        long version = Math.max(base.version() + 1, EraNumbers.first(era));
+        return new KeyMap(base.service(), version, 0, nextFence + FenceBlock.SIZE, assignments);
     }
 
     /** Returns the stored version with those ranges settled whose owners accepted their grants since. */
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/RangeCallCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/RangeCallCoordinator.java
@@ -65,6 +65,11 @@
         holds.startTerm(nowNanos);
     }
 
+    /** Returns whether servers may hold what other controllers granted before this term. */
+    boolean mayOthersHold(long nowNanos) {
+        return holds.mayOthersHold(nowNanos);
+    }
+
     /** Keeps the state of ranges that {@code map} keeps, whole or in part; discards that of all others. */
     void adopt(KeyMap map) {
         Map<Long, List<Map.Entry<KeyAssignment, RangeState>>> beforeByFence =
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServiceKeyCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServiceKeyCoordinator.java
@@ -7,6 +7,7 @@
 import java.util.stream.Collectors;
 import org.daisyscale.core.keys.KeyAction;
 import org.daisyscale.core.keys.KeyLoad;
+import org.daisyscale.core.platform.StoreRevision;
 import org.daisyscale.core.serving.BackendServer;
 import org.daisyscale.core.serving.KeyAssignment;
 import org.daisyscale.core.serving.KeyAssignment.Owner;
@@ -14,8 +15,13 @@
 
 /**
  * Coordinates the keys of one service: plans changes of the key map, writes them and makes the grant and release calls.
- * A change takes effect only once it is stored; while a write is in flight, no range that it changes is granted. Not
- * thread-safe; confined to the core thread.
+ * A change takes effect only once it is stored; while a write is in flight, no range that it changes is granted.
+ *
+ * <p>A map that was written before the store was restored may lack moves. Only a controller whose control lasted until
+ * the restore goes on with the map that it knows; any other one makes no grant until those of before have expired. The
+ * first map of an era has a version and fences above all earlier ones.
+ *
+ * <p>Not thread-safe; confined to the core thread.
  */
 final class ServiceKeyCoordinator {
     /** Interval of rebalancing, in milliseconds: about the time in which all routers send new reports. */
@@ -46,6 +52,9 @@
     private boolean isRead;
     private boolean isWriteUnknown;
     private boolean isReadRequested;
+    private StoreHistory history = StoreHistory.NONE;
+    private boolean mayLackMoves;
+    private boolean isWaitReported;
     private long balanceDueNanos;
     private long lastWriteNanos;
 
@@ -69,8 +78,15 @@
         load.add(keyLoad, nowNanos);
     }
 
-    /** Discards the state of an earlier term; the map has to be read again. */
-    void restart(long nowNanos) {
+    /**
+     * Discards the state of an earlier term; the map has to be read again.
+     *
+     * @param newHistory what is known about the store in this term
+     */
+    void restart(StoreHistory newHistory, long nowNanos) {
+        history = newHistory;
+        mayLackMoves = false;
+        isWaitReported = false;
         calls.startTerm(nowNanos);
         fences.clear();
         pendingMap = null;
@@ -89,15 +105,31 @@
 
     /** Records the map that was read; the fences that a newer map reserves belong to another controller. */
     void onMapRead(KeyMap found, long foundRevision) {
+        if (isOfOlderEra(foundRevision)) {
+            return;
+        }
+        history = history.inEra(StoreRevision.eraOf(foundRevision));
         if (foundRevision > revision) {
             fences.clear();
         }
-        adopt(found, foundRevision);
+        boolean wasWrittenBefore = EraNumbers.eraOf(found.version()) < history.era();
+        boolean isOwnNewer = wasWrittenBefore && map != null && map.version() >= found.version();
+        mayLackMoves = wasWrittenBefore && !(history.isUnbroken() && isOwnNewer);
+        adopt(isOwnNewer ? map : found, foundRevision);
+    }
+
+    /** Returns whether the revision was assigned before the store was restored, so that it says nothing any more. */
+    private boolean isOfOlderEra(long foundRevision) {
+        return StoreRevision.eraOf(foundRevision) < history.era();
     }
 
     /** Records that a write of this controller was accepted, which reserves its fences for this controller. */
     void onMapWritten(KeyMap accepted, long acceptedRevision) {
+        if (isOfOlderEra(acceptedRevision)) {
+            return;
+        }
         fences.recordWritten(accepted.nextFence());
+        mayLackMoves = false;
         adopt(accepted, acceptedRevision);
     }
 
@@ -113,6 +145,10 @@
     /** Records that the store has no map of the service. */
     void onMapAbsent() {
         markRead();
+        if (isOfOlderEra(revision)) {
+            revision = 0;
+        }
+        mayLackMoves = history.wasRestored() && !(history.isUnbroken() && map != null);
     }
 
     private void markRead() {
@@ -132,6 +168,10 @@
         if (!isRead && !isWriteUnknown) {
             return;
         }
+        if (mayLackMoves && calls.mayOthersHold(nowNanos)) {
+            reportWait(actions);
+            return;
+        }
         if (pendingMap == null) {
             plan(nowNanos).ifPresent(next -> {
                 pendingMap = next;
@@ -145,6 +185,16 @@
         }
     }
 
+    private void reportWait(List<KeyAction> actions) {
+        if (!isWaitReported) {
+            isWaitReported = true;
+            actions.add(new KeyAction.Report(
+                    "key-map-restored-older",
+                    "service=%s version=%d era=%d: no grants until those of lost key maps have expired"
+                            .formatted(service, map == null ? 0 : map.version(), history.era())));
+        }
+    }
+
     private List<KeyAssignment> rangesKeptByPendingWrite() {
         if (pendingMap == null) {
             return map.assignments();
@@ -164,7 +214,7 @@
         if (!isNewVersion && granted.isEmpty()) {
             return;
         }
-        MapDraft draft = new MapDraft(map);
+        MapDraft draft = new MapDraft(map, history.era());
         granted.forEach(draft::settle);
         KeyMap next = draft.toProgress(isNewVersion ? 0 : publishedMap.progress() + 1);
         if (isNewVersion || !next.assignments().equals(publishedMap.assignments())) {
@@ -179,7 +229,7 @@
             return usable.isEmpty() ? Optional.empty() : Optional.of(initialMap(usable));
         }
         PlanContext context = new PlanContext(usable, warm(usable, nowNanos), load, registry, owners, calls, nowNanos);
-        MapDraft draft = new MapDraft(map);
+        MapDraft draft = new MapDraft(map, history.era());
         if (fences.isLow()) {
             draft.reserveFences();
         }
@@ -209,14 +259,15 @@
 
     private KeyMap initialMap(List<BackendServer> servers) {
         List<KeyAssignment> assignments = new ArrayList<>();
+        long lowest = EraNumbers.first(history.era());
         int first = 0;
         for (int index = 0; index < servers.size(); index++) {
             int next = (int) ((long) KeyMap.KEY_COUNT * (index + 1) / servers.size());
             Owner owner = Owner.of(servers.get(index));
-            assignments.add(KeyAssignment.first(first, next - 1, owner, index + 1));
+            assignments.add(KeyAssignment.first(first, next - 1, owner, lowest + index + 1));
             first = next;
         }
-        return new KeyMap(service, 1, 0, servers.size() + 1 + FenceBlock.SIZE, assignments);
+        return new KeyMap(service, Math.max(1, lowest), 0, lowest + servers.size() + 1 + FenceBlock.SIZE, assignments);
     }
 
     /** A range with its fence, which a write keeps only if it doesn't change the owner. Immutable. */
--- a/daisyscale-core/src/main/java/org/daisyscale/core/keys/KeyEvent.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/keys/KeyEvent.java
@@ -18,6 +18,17 @@
     /** This router no longer holds the control lease. */
     record LeaseLost() implements KeyEvent {}
 
+    /**
+     * The store was restored from an older copy, which begins {@code era}. This router has no control until the lease
+     * counts as renewed again.
+     *
+     * @param isControlUnbroken whether this router, if it held the control, knows of no time in which it did not
+     */
+    record StoreRestored(long era, boolean isControlUnbroken) implements KeyEvent {}
+
+    /** The store is in {@code era}, as it was when this router first called it. */
+    record EraKnown(long era) implements KeyEvent {}
+
     /** The fleet changed: configuration, servers or evacuations. */
     record FleetChanged(ServingEvent change) implements KeyEvent {}
 
