Control lease, registration and peer secret after a restore of the store

A controller loses the control when any of its threads reads the new era, and claims it at once only while its lease would be valid; other routers wait for the end of any lease.

--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetListeners.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetListeners.java
@@ -96,10 +96,10 @@
                     publishRouters();
                 } else if (item.key().equals(StoreKeys.CONTROLLER)) {
                     isControlled = true;
-                    controller.setController(Json.read(item.value(), RouterEntry.class));
+                    recordController(Json.read(item.value(), RouterEntry.class), lease, controller);
                 } else if (item.key().equals(StoreKeys.PEER_SECRET)) {
                     hasSecret = true;
-                    controller.startNetwork(Json.read(item.value(), String.class));
+                    recordSecret(Json.read(item.value(), String.class), lease, controller);
                 }
                 lease.recordStoreState(isControlled, !hasSecret);
             }
@@ -133,6 +133,16 @@
         };
     }
 
+    private static void recordController(RouterEntry entry, LeaseDuty lease, ControllerLink link) {
+        lease.recordController(entry);
+        link.setController(entry);
+    }
+
+    private static void recordSecret(String secret, LeaseDuty lease, ControllerLink link) {
+        lease.recordSecret(secret);
+        link.startNetwork(secret);
+    }
+
     private static double mostCores(Map<String, Double> coresByRouter) {
         return coresByRouter.values().stream()
                 .mapToDouble(Double::doubleValue)
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/LeaseDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/LeaseDuty.java
@@ -5,6 +5,7 @@
 import java.util.HexFormat;
 import java.util.Optional;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -21,8 +22,10 @@
 /**
  * Holds the leases of this router. One registers the router until its process ends, so that other routers count it
  * while it serves. The other one holds the control of the keys; it is acquired when no other router is the controller
- * and released when this router stops. The lifetime of a lease counts from before its renewal was sent. Thread-safe
- * except for {@link #runStep}, which is confined to one thread.
+ * and released when this router stops. The lifetime of a lease counts from before its renewal was sent. All leases end
+ * when the store was restored from an older copy, also those that the store renews.
+ *
+ * <p>Thread-safe except for {@link #runStep}, which is confined to one thread.
  */
 final class LeaseDuty {
     /**
@@ -54,6 +57,9 @@
      */
     private static final long EXPIRY_MARGIN_MILLIS = 200;
 
+    /** Longest delay of the new registration after a restore, in milliseconds: spreads the calls of all routers. */
+    private static final long REGISTRATION_SPREAD_MILLIS = 1_000;
+
     private static final int SECRET_BYTES = 24;
 
     private final CoordinationStore store;
@@ -61,12 +67,13 @@
     private final Consumer<ServingEvent> servingEvents;
     private final Consumer<KeyEvent> keyEvents;
     private final Semaphore wakeUps = new Semaphore(0);
-    private final SuspensionDetector suspensions;
     private final LongSupplier clockNanos;
+    private final ControlClaim claim;
     private volatile boolean isControllerKnown;
     private volatile boolean isControlled = true;
     private volatile boolean isSecretMissing;
     private volatile boolean isStopping;
+    private volatile String knownSecret;
     private volatile double mostCores;
     private volatile long uncontrolledSinceNanos;
     private long registrationLease;
@@ -74,6 +81,7 @@
     private boolean isRegistered;
     private long registeredNanos;
     private long controlLease;
+    private boolean mustRestoreSecret;
 
     LeaseDuty(
             CoordinationStore store,
@@ -86,8 +94,24 @@
         this.self = self;
         this.servingEvents = servingEvents;
         this.keyEvents = keyEvents;
-        this.suspensions = suspensions;
         this.clockNanos = clockNanos;
+        this.claim = new ControlClaim(suspensions, clockNanos, keyEvents);
+    }
+
+    /** Drops all leases, because the store was restored from an older copy, which begins {@code newEra}. */
+    void recordEra(long newEra) {
+        claim.recordRestore(newEra);
+        wakeUps.release();
+    }
+
+    /** Records a controller in the store; one of an older era has lost its lease. */
+    void recordController(RouterEntry controller) {
+        claim.recordController(controller.era());
+    }
+
+    /** Records the secret of the peers, which is written again if a restored store lacks it. */
+    void recordSecret(String secret) {
+        knownSecret = secret;
     }
 
     /**
@@ -121,6 +145,7 @@
     void runStep() throws InterruptedException {
         long delayMillis = RENEW_INTERVAL_MILLIS;
         try {
+            dropLostLeases();
             if (System.nanoTime() - registrationDueNanos >= 0) {
                 registrationDueNanos = System.nanoTime() + REGISTRATION_RENEW_INTERVAL_MILLIS * 1_000_000L;
                 renewRegistration();
@@ -128,16 +153,21 @@
             if (isStopping) {
                 releaseControl();
             } else {
+                dropLostLeases();
                 renewControl();
                 createMissingSecret();
+                dropLostLeases();
                 acquireControl();
             }
         } catch (StoreException e) {
             delayMillis = isController() ? CONTROL_RETRY_DELAY_MILLIS : RETRY_DELAY_MILLIS;
-            registrationDueNanos = System.nanoTime();
+            registrationDueNanos = registrationLease == 0 ? registrationDueNanos : System.nanoTime();
             EventLog.info(
                     "lease-call-failed",
                     "registration=%d control=%d reason=%s".formatted(registrationLease, controlLease, e.detail()));
+            if (e.errorCode() == StoreException.Code.UNREACHABLE) {
+                claim.recordUnanswered();
+            }
             if (isController()) {
                 keyEvents.accept(new KeyEvent.LeaseInDoubt());
             }
@@ -146,6 +176,21 @@
         wakeUps.drainPermits();
     }
 
+    /** Forgets the leases of an older era: their ids may belong to other routers now. */
+    private void dropLostLeases() {
+        if (claim.takeRestore()) {
+            EventLog.warn(
+                    "leases-lost",
+                    "registration=%d control=%d era=%d: the store was restored"
+                            .formatted(registrationLease, controlLease, store.era()));
+            registrationLease = 0;
+            controlLease = 0;
+            isRegistered = false;
+            registrationDueNanos =
+                    System.nanoTime() + ThreadLocalRandom.current().nextLong(REGISTRATION_SPREAD_MILLIS) * 1_000_000L;
+        }
+    }
+
     private void renewRegistration() {
         long sentNanos = System.nanoTime();
         if (registrationLease == 0) {
@@ -176,11 +221,12 @@
         Change change = new Change(key, expected, entry(registrationLease), registrationLease);
         isRegistered = store.write(change).outcome() == WriteOutcome.ACCEPTED;
         registeredNanos = System.nanoTime();
-        EventLog.info("registered", "lease=" + registrationLease + " accepted=" + isRegistered);
+        EventLog.info(
+                "registered", "lease=%d accepted=%s era=%d".formatted(registrationLease, isRegistered, store.era()));
     }
 
     private byte[] entry(long leaseId) {
-        return Json.write(self.withLease(leaseId));
+        return Json.write(self.withLease(leaseId, store.era()));
     }
 
     private boolean isController() {
@@ -192,7 +238,7 @@
             return;
         }
         long sentNanos = System.nanoTime();
-        suspensions.wasSuspended();
+        claim.startRenewal();
         if (store.renewLease(controlLease)) {
             reportRenewal(sentNanos);
         } else {
@@ -201,48 +247,82 @@
         }
     }
 
-    /** Reports a renewal that was sent at {@code sentNanos}, unless the VM was suspended since. */
+    /** Reports a renewal that was sent at {@code sentNanos}, unless the VM was suspended or the lease lost since. */
     private void reportRenewal(long sentNanos) {
-        if (suspensions.wasSuspended()) {
-            EventLog.warn("lease-renewal-ignored", "the VM was suspended meanwhile; lease=" + controlLease);
-        } else {
-            keyEvents.accept(new KeyEvent.LeaseRenewed(validUntil(sentNanos, CONTROL_TIME_TO_LIVE_MILLIS)));
-        }
+        claim.recordRenewal(sentNanos, CONTROL_TIME_TO_LIVE_MILLIS - EXPIRY_MARGIN_MILLIS, controlLease, store.era());
     }
 
     private void loseControl() {
         controlLease = 0;
-        keyEvents.accept(new KeyEvent.LeaseLost());
+        claim.recordLost();
     }
 
     private void createMissingSecret() {
-        if (isControllerKnown && isSecretMissing) {
+        if (isControllerKnown && (isSecretMissing || mustRestoreSecret)) {
             isSecretMissing = false;
-            byte[] secret = new byte[SECRET_BYTES];
-            new SecureRandom().nextBytes(secret);
-            store.write(new Change(
-                    StoreKeys.PEER_SECRET, 0, Json.write(HexFormat.of().formatHex(secret)), 0));
+            Optional<String> known = Optional.ofNullable(knownSecret);
+            WriteOutcome outcome = store.write(
+                            new Change(StoreKeys.PEER_SECRET, 0, Json.write(known.orElseGet(LeaseDuty::newSecret)), 0))
+                    .outcome();
+            mustRestoreSecret = mustRestoreSecret && outcome == WriteOutcome.UNKNOWN;
+            if (known.isPresent()) {
+                EventLog.info("peer-secret-restored", "outcome=" + outcome + " era=" + store.era());
+            }
         }
     }
 
+    private static String newSecret() {
+        byte[] secret = new byte[SECRET_BYTES];
+        new SecureRandom().nextBytes(secret);
+        return HexFormat.of().formatHex(secret);
+    }
+
     private void acquireControl() {
-        if (isController() || !isControllerKnown || isControlled || isDeferring()) {
+        if (isController() || !isControllerKnown || isDeferring()) {
             return;
         }
+        if (claim.isDue()) {
+            claimControl();
+        } else if (!isControlled && !claim.isPending()) {
+            acquireControl(0);
+        }
+    }
+
+    /** Acquires the control in a new era unless another router has it; the entry of an older era is replaced. */
+    private void claimControl() {
+        Optional<Item> found = store.get(StoreKeys.CONTROLLER);
+        boolean isTaken = found.map(LeaseDuty::controllerIn)
+                .filter(entry -> entry.era() >= store.era())
+                .isPresent();
+        if (isTaken) {
+            isControlled = true;
+        } else {
+            acquireControl(found.map(Item::revision).orElse(0L));
+            mustRestoreSecret = isController() && knownSecret != null;
+        }
+        claim.end();
+    }
+
+    /** Acquires the control if the controller's item still has {@code expectedRevision}, or is absent for 0. */
+    private void acquireControl(long expectedRevision) {
         long sentNanos = System.nanoTime();
-        suspensions.wasSuspended();
+        claim.startRenewal();
         long lease = store.grantLease(Duration.ofMillis(CONTROL_TIME_TO_LIVE_MILLIS));
-        WriteOutcome outcome = store.write(new Change(StoreKeys.CONTROLLER, 0, entry(lease), lease))
+        WriteOutcome outcome = store.write(new Change(StoreKeys.CONTROLLER, expectedRevision, entry(lease), lease))
                 .outcome();
         boolean isAcquired = outcome == WriteOutcome.ACCEPTED || (outcome == WriteOutcome.UNKNOWN && isHeldBy(lease));
         if (isAcquired && store.renewLease(lease)) {
             controlLease = lease;
-            EventLog.info("control-taken", "lease=" + lease);
+            EventLog.info("control-taken", "lease=" + lease + " era=" + store.era());
             reportRenewal(sentNanos);
         }
         isControlled = true;
     }
 
+    private static RouterEntry controllerIn(Item item) {
+        return Json.read(item.value(), RouterEntry.class);
+    }
+
     private boolean isDeferring() {
         return self.cores() < mostCores
                 && clockNanos.getAsLong() - uncontrolledSinceNanos < DEFERENCE_MILLIS * 1_000_000L;
@@ -250,8 +330,9 @@
 
     private boolean isHeldBy(long lease) {
         Optional<Item> item = store.get(StoreKeys.CONTROLLER);
-        return item.map(found -> Json.read(found.value(), RouterEntry.class).leaseId() == lease)
-                .orElse(false);
+        return item.map(LeaseDuty::controllerIn)
+                .filter(entry -> entry.leaseId() == lease && entry.routerId().equals(self.routerId()))
+                .isPresent();
     }
 
     private void releaseControl() {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -90,9 +90,11 @@
                         blockingPut(servingEvents),
                         this::offerKeyEvent,
                         EventLog::info)) {
-            CoordinationStore store =
-                    new CountedStore(new StoreClient(loop, settings.store(), dialect.store()), metrics);
+            StoreClient client = new StoreClient(loop, settings.store(), dialect.store());
+            CoordinationStore store = new CountedStore(client, metrics);
             LeaseDuty lease = createLeaseDuty(store);
+            client.onNewEra(lease::recordEra);
+            metrics.registerStoreEra(client::era);
             FleetListeners listeners =
                     new FleetListeners(dialect.fleet(), blockingPut(servingEvents), blockingPut(keyEvents), readiness);
             try (DutyThread decisions = DutyThread.start("decisions", createServingDuty(loop, controller)::runStep);
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingMetrics.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingMetrics.java
@@ -113,6 +113,11 @@
         registerGauge("daisyscale_serving_open_requests", "Requests without a final answer", count);
     }
 
+    /** Registers the era of the store, which rises each time the store is restored from an older copy. */
+    void registerStoreEra(LongSupplier era) {
+        registerGauge("daisyscale_serving_store_era", "Era of the store; rises with each restore", era::getAsLong);
+    }
+
     /** Registers the number of events that wait in {@code ring}. */
     void registerRingDepth(Ring<?> ring) {
         registerGauge("daisyscale_serving_ring_depth_" + ring.name(), "Events waiting", ring::size);
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/LeasedStore.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/LeasedStore.java
@@ -19,12 +19,24 @@
     private Runnable onRenewal = () -> {};
     private long revision;
     private long lastLease;
+    private long era;
 
     /** Makes each renewal run {@code action} first. */
     void onRenewal(Runnable action) {
         onRenewal = action;
     }
 
+    /** Ends all leases and their items, as a restore from an older copy does, and begins {@code newEra}. */
+    void loseLeases(long newEra) {
+        Set.copyOf(leases).forEach(this::endLease);
+        era = newEra;
+    }
+
+    @Override
+    public long era() {
+        return era;
+    }
+
     @Override
     public Optional<Item> get(String key) {
         return Optional.ofNullable(items.get(key));
