A controller keeps its map over a restore only if it had acted on it

RestoredStoreModel found two owners of a key: a controller that still waited for the holds of a lost map counted its control as unbroken when the store was restored a second time (seeds 142, 556 and 747 of 800).

--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LeasedKeyController.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LeasedKeyController.java
@@ -66,7 +66,9 @@
 
     private boolean handleEraEvent(KeyEvent event) {
         if (event instanceof KeyEvent.StoreRestored restored) {
-            history = new StoreHistory(restored.era(), true, isLeaseHeld && restored.isControlUnbroken());
+            history = new StoreHistory(restored.era(), true);
+            boolean isUnbroken = isLeaseHeld && restored.isControlUnbroken();
+            coordinatorByService.values().forEach(coordinator -> coordinator.recordRestore(isUnbroken));
             isLeading = false;
             isLeaseHeld = false;
         } else if (event instanceof KeyEvent.EraKnown known) {
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServiceKeyCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServiceKeyCoordinator.java
@@ -53,6 +53,11 @@
     private boolean isWriteUnknown;
     private boolean isReadRequested;
     private StoreHistory history = StoreHistory.NONE;
+    /** Whether this controller has acted in this term, so that its map contains all moves. */
+    private boolean isMapComplete;
+    /** Whether the map contained all moves when the store was restored last. */
+    private boolean isMapKept;
+
     private boolean mayLackMoves;
     private boolean isWaitReported;
     private long balanceDueNanos;
@@ -78,6 +83,16 @@
         load.add(keyLoad, nowNanos);
     }
 
+    /**
+     * Records that the store was restored, which ends the term.
+     *
+     * @param isControlUnbroken whether no other controller can have acted before the restore
+     */
+    void recordRestore(boolean isControlUnbroken) {
+        isMapKept = isControlUnbroken && isMapComplete;
+        isMapComplete = false;
+    }
+
     /**
      * Discards the state of an earlier term; the map has to be read again.
      *
@@ -85,6 +100,7 @@
      */
     void restart(StoreHistory newHistory, long nowNanos) {
         history = newHistory;
+        isMapComplete = false;
         mayLackMoves = false;
         isWaitReported = false;
         calls.startTerm(nowNanos);
@@ -114,7 +130,7 @@
         }
         boolean wasWrittenBefore = EraNumbers.eraOf(found.version()) < history.era();
         boolean isOwnNewer = wasWrittenBefore && map != null && map.version() >= found.version();
-        mayLackMoves = wasWrittenBefore && !(history.isUnbroken() && isOwnNewer);
+        mayLackMoves = wasWrittenBefore && !(isMapKept && isOwnNewer);
         adopt(isOwnNewer ? map : found, foundRevision);
     }
 
@@ -148,7 +164,7 @@
         if (isOfOlderEra(revision)) {
             revision = 0;
         }
-        mayLackMoves = history.wasRestored() && !(history.isUnbroken() && map != null);
+        mayLackMoves = history.wasRestored() && !(isMapKept && map != null);
     }
 
     private void markRead() {
@@ -172,6 +188,7 @@
             reportWait(actions);
             return;
         }
+        isMapComplete = true;
         if (pendingMap == null) {
             plan(nowNanos).ifPresent(next -> {
                 pendingMap = next;
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/StoreHistory.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/StoreHistory.java
@@ -5,12 +5,11 @@
  *
  * @param era the era of the store; 0 if the store has none
  * @param wasRestored whether the store was restored while this process ran
- * @param isUnbroken whether this controller held the control until the last restore, so that it knows all moves
  */
-record StoreHistory(long era, boolean wasRestored, boolean isUnbroken) {
-    static final StoreHistory NONE = new StoreHistory(0, false, false);
+record StoreHistory(long era, boolean wasRestored) {
+    static final StoreHistory NONE = new StoreHistory(0, false);
 
     StoreHistory inEra(long newEra) {
-        return newEra <= era ? this : new StoreHistory(newEra, wasRestored, false);
+        return newEra <= era ? this : new StoreHistory(newEra, wasRestored);
     }
 }
--- a/daisyscale-core/src/test/java/org/daisyscale/core/keys/RestoredKeyMapTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/keys/RestoredKeyMapTest.java
@@ -125,6 +125,20 @@
         assertThat(grants(actions)).isEmpty();
     }
 
+    /** Guards against a second restore that counts the control of a router as unbroken which never saw all moves. */
+    @Test
+    void shouldWaitAgainIfTheStoreIsRestoredASecondTimeDuringTheWait() {
+        registerService("k1", "k2");
+        restoreAndTakeControlAgain(false);
+        handle(new KeyEvent.StoreRestored(2, true));
+        handle(new KeyEvent.LeaseRenewed(nowNanos() + 60_000 * MILLI));
+
+        List<KeyAction> actions = new ArrayList<>(handle(new KeyEvent.MapRead(copiedMap(), revision(2, 30))));
+        actions.addAll(advance(WAIT_MILLIS));
+
+        assertThat(grants(actions)).isEmpty();
+    }
+
     @Test
     void shouldNotWaitForAMapThatWasWrittenInTheCurrentEra() {
         registerService("k1", "k2");
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControlClaim.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControlClaim.java
@@ -1,8 +1,8 @@
 package org.daisyscale.router.internal.serving;
 
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
 import org.daisyscale.core.keys.KeyEvent;
 import org.daisyscale.router.internal.log.EventLog;
 
@@ -32,6 +32,7 @@
     private final SuspensionDetector suspensions;
     private final LongSupplier clockNanos;
     private final Consumer<KeyEvent> keyEvents;
+    private final RandomGenerator random;
     private boolean hasControl;
     private boolean wasSuspended;
     /** Whether a call since the last renewal was lost, so that the store may have been there for others. */
@@ -44,10 +45,15 @@
     private boolean isPending;
     private long dueNanos;
 
-    ControlClaim(SuspensionDetector suspensions, LongSupplier clockNanos, Consumer<KeyEvent> keyEvents) {
+    ControlClaim(
+            SuspensionDetector suspensions,
+            LongSupplier clockNanos,
+            Consumer<KeyEvent> keyEvents,
+            RandomGenerator random) {
         this.suspensions = suspensions;
         this.clockNanos = clockNanos;
         this.keyEvents = keyEvents;
+        this.random = random;
     }
 
     /** Records that a renewal or acquisition of the control is about to be sent. */
@@ -109,12 +115,10 @@
         keyEvents.accept(new KeyEvent.StoreRestored(newEra, isUnbroken));
     }
 
-    private static long delayMillis(boolean wasController) {
+    private long delayMillis(boolean wasController) {
         return wasController
                 ? CLAIM_DELAY_MILLIS
-                : CLAIM_DELAY_MILLIS
-                        + OTHERS_DELAY_MILLIS
-                        + ThreadLocalRandom.current().nextLong(SPREAD_MILLIS);
+                : CLAIM_DELAY_MILLIS + OTHERS_DELAY_MILLIS + random.nextLong(SPREAD_MILLIS);
     }
 
     /** Returns whether the store was restored since the last call, so that all leases are lost. */
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/LeaseDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/LeaseDuty.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.HexFormat;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -95,7 +96,7 @@
         this.servingEvents = servingEvents;
         this.keyEvents = keyEvents;
         this.clockNanos = clockNanos;
-        this.claim = new ControlClaim(suspensions, clockNanos, keyEvents);
+        this.claim = new ControlClaim(suspensions, clockNanos, keyEvents, new SplittableRandom());
     }
 
     /** Drops all leases, because the store was restored from an older copy, which begins {@code newEra}. */
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ModelController.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ModelController.java
@@ -32,7 +32,8 @@
         this.model = model;
         this.store = store;
         this.routerId = routerId;
-        this.claim = new ControlClaim(new SuspensionDetector(() -> 0, () -> 0), model::nowNanos, events::add);
+        this.claim = new ControlClaim(
+                new SuspensionDetector(() -> 0, () -> 0), model::nowNanos, events::add, model.random());
     }
 
     void setCutOff(boolean newIsCutOff) {
