A configuration of a new era is never held back; test of routers that follow a restored store

A listing does not tell when an item was written, so items with a lower revision than before are held back for 2 s. Configurations have versions that tell older from newer.

--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ItemView.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ItemView.java
@@ -273,7 +273,9 @@
         itemByKey.put(item.key(), item);
         Long removedRevision = removedRevisionByKey.remove(item.key());
         long lastRevision = known != null ? known.revision() : removedRevision != null ? removedRevision : 0;
-        if (!restored.holdsBack(item, lastRevision, maxAgeMillis) && !isRestoredUnchanged(known, item)) {
+        boolean isHeldBack =
+                !listener.ignoresOlderVersions(item.key()) && restored.holdsBack(item, lastRevision, maxAgeMillis);
+        if (!isHeldBack && !isRestoredUnchanged(known, item)) {
             listener.onWritten(item, maxAgeMillis);
         }
     }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/ItemFailureListener.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/ItemFailureListener.java
@@ -16,6 +16,11 @@
         this.receiver = receiver;
     }
 
+    @Override
+    public boolean ignoresOlderVersions(String key) {
+        return receiver.ignoresOlderVersions(key);
+    }
+
     @Override
     public void onWritten(Item item, long maxAgeMillis) {
         contain(item.key(), () -> receiver.onWritten(item, maxAgeMillis));
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorState.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorState.java
@@ -226,6 +226,11 @@
             }
         }
 
+        @Override
+        public boolean ignoresOlderVersions(String key) {
+            return decoder.evacuatedDataCentre(key).isEmpty();
+        }
+
         private void handleRead(Item item, RoutingTable read) {
             if (read.version() < heldVersion() && isRestored(item)) {
                 // The revision of the newer table stays, so that routers which know only the older one are sent it.
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/SharedStore.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/SharedStore.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import org.daisyscale.core.platform.CoordinationStore;
+import org.daisyscale.core.platform.StoreRevision;
 import org.daisyscale.router.serving.StoreException;
 
 /** An in-memory store that several routers read at the same time. Writes are made by the test. Thread-safe. */
@@ -18,6 +19,7 @@
     private final Map<String, Item> itemByKey = new TreeMap<>();
     private final List<ItemChange> history = new ArrayList<>();
     private final long maxWaitMillis;
+    private long era;
     private long revision;
     private boolean isReachable = true;
 
@@ -39,6 +41,29 @@
         record(new ItemChange(key, ++revision, Optional.empty()));
     }
 
+    /** Returns what the store contains now. */
+    synchronized Copy copy() {
+        return new Copy(List.copyOf(itemByKey.values()), revision);
+    }
+
+    /** Begins a new era with the content of {@code copy}. */
+    synchronized void restore(Copy copy) {
+        era++;
+        revision = inEra(copy.revision());
+        itemByKey.clear();
+        copy.items().forEach(item -> itemByKey.put(item.key(), inEra(item)));
+        history.clear();
+        notifyAll();
+    }
+
+    private Item inEra(Item item) {
+        return new Item(item.key(), item.value(), inEra(item.revision()));
+    }
+
+    private long inEra(long ofAnyEra) {
+        return new StoreRevision(era, StoreRevision.unpack(ofAnyEra).revision()).packed();
+    }
+
     /** Makes all calls fail, also those that wait, until it is set to true again. */
     synchronized void setReachable(boolean newIsReachable) {
         isReachable = newIsReachable;
@@ -75,6 +100,10 @@
     public synchronized Optional<Changes> watch(
             String prefix, long afterRevision, Duration wait, BooleanSupplier isOverdue) {
         long endNanos = System.nanoTime() + Math.min(wait.toMillis(), maxWaitMillis) * 1_000_000L;
+        if (StoreRevision.eraOf(afterRevision) != era) {
+            return Optional.empty();
+        }
+        long eraAtStart = era;
         List<ItemChange> changes = changesAfter(prefix, afterRevision);
         while (changes.isEmpty() && System.nanoTime() - endNanos < 0) {
             checkReachable();
@@ -85,7 +114,7 @@
             changes = changesAfter(prefix, afterRevision);
         }
         checkReachable();
-        return Optional.of(new Changes(changes, revision));
+        return era == eraAtStart ? Optional.of(new Changes(changes, revision)) : Optional.empty();
     }
 
     private List<ItemChange> changesAfter(String prefix, long afterRevision) {
@@ -122,4 +151,7 @@
     public void endLease(long leaseId) {
         throw new UnsupportedOperationException("this store has no leases");
     }
+
+    /** The content of the store at one time. Immutable. */
+    record Copy(List<Item> items, long revision) {}
 }
