--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewVersion.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewVersion.java
@@ -4,7 +4,8 @@
  * Identifies what a view of a prefix of the store holds. Two views with the same digest hold the same items, whatever
  * they read and in which order. Immutable.
  *
- * @param revision the store's revision up to which the view lacks no change
+ * @param revision the store's revision up to which the view lacks no change, with the store's era in its high bits (see
+ *     {@link org.daisyscale.core.platform.StoreRevision})
  * @param digest the digest of the items that the view holds
  */
 public record ViewVersion(long revision, long digest) {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControlClaim.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ControlClaim.java
@@ -143,6 +143,11 @@
         return isPending && clockNanos.getAsLong() - dueNanos >= 0;
     }
 
+    /** Returns the time until this router may claim the control, in milliseconds; negative afterwards. */
+    synchronized long remainingMillis() {
+        return (dueNanos - clockNanos.getAsLong()) / NANOS_PER_MILLI;
+    }
+
     /** Ends the claim, whether this router or another one has the control now. */
     synchronized void end() {
         isPending = isPending && isRestoreUnhandled;
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/LeaseDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/LeaseDuty.java
@@ -1,15 +1,13 @@
 package org.daisyscale.router.internal.serving;
 
-import java.security.SecureRandom;
 import java.time.Duration;
-import java.util.HexFormat;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.Semaphore;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
 import org.daisyscale.core.keys.KeyEvent;
 import org.daisyscale.core.platform.CoordinationStore;
 import org.daisyscale.core.platform.CoordinationStore.Change;
@@ -48,6 +46,13 @@
      * milliseconds: enough for that one to take it first.
      */
     private static final long DEFERENCE_MILLIS = 300;
+    /**
+     * How many routers on equally large VMs try to take the control at once. Each attempt costs calls of the store, and
+     * only one succeeds; with three, the loss of a data centre rarely includes all of them.
+     */
+    static final int FIRST_CANDIDATES = 3;
+    /** Shortest delay until the next attempt of a router that leaves the control to others, in milliseconds. */
+    private static final long MIN_DELAY_MILLIS = 10;
     /** Delay after a failed call while this router controls the keys, in milliseconds. */
     private static final long CONTROL_RETRY_DELAY_MILLIS = 150;
     /** Delay after a failed call of another router, in milliseconds: the registration lasts for several attempts. */
@@ -61,14 +66,13 @@
     /** Longest delay of the new registration after a restore, in milliseconds: spreads the calls of all routers. */
     private static final long REGISTRATION_SPREAD_MILLIS = 1_000;
 
-    private static final int SECRET_BYTES = 24;
-
     private final CoordinationStore store;
     private final RouterEntry self;
     private final Consumer<ServingEvent> servingEvents;
     private final Consumer<KeyEvent> keyEvents;
     private final Semaphore wakeUps = new Semaphore(0);
     private final LongSupplier clockNanos;
+    private final RandomGenerator random = new SplittableRandom();
     private final ControlClaim claim;
     private volatile boolean isControllerKnown;
     private volatile boolean isControlled = true;
@@ -76,9 +80,13 @@
     private volatile boolean isStopping;
     private volatile String knownSecret;
     private volatile double mostCores;
+    private volatile int candidateRank;
     private volatile long uncontrolledSinceNanos;
     private long registrationLease;
     private long registrationDueNanos = System.nanoTime();
+    /** Before this time the router doesn't register again, so that the calls of all routers are spread. */
+    private long notRegisteredBeforeNanos = registrationDueNanos;
+
     private boolean isRegistered;
     private long registeredNanos;
     private long controlLease;
@@ -136,6 +144,16 @@
         mostCores = newMostCores;
     }
 
+    /** Records how many registered routers on equally large VMs try to take the control before this one. */
+    void recordCandidateRank(int newCandidateRank) {
+        candidateRank = newCandidateRank;
+    }
+
+    /** Returns whether some router controls the keys, as far as this router knows from the store. */
+    boolean isControlled() {
+        return isControlled;
+    }
+
     /** Releases the control of the keys and does not acquire it again; the router stays registered. */
     void stop() {
         isStopping = true;
@@ -147,7 +165,7 @@
         long delayMillis = RENEW_INTERVAL_MILLIS;
         try {
             dropLostLeases();
-            if (System.nanoTime() - registrationDueNanos >= 0) {
+            if (isRegistrationDue()) {
                 registrationDueNanos = System.nanoTime() + REGISTRATION_RENEW_INTERVAL_MILLIS * 1_000_000L;
                 renewRegistration();
             }
@@ -156,13 +174,14 @@
             } else {
                 dropLostLeases();
                 renewControl();
-                createMissingSecret();
                 dropLostLeases();
                 acquireControl();
+                createMissingSecret();
+                delayMillis = delayMillis();
             }
         } catch (StoreException e) {
             delayMillis = isController() ? CONTROL_RETRY_DELAY_MILLIS : RETRY_DELAY_MILLIS;
-            registrationDueNanos = registrationLease == 0 ? registrationDueNanos : System.nanoTime();
+            registrationDueNanos = System.nanoTime();
             EventLog.info(
                     "lease-call-failed",
                     "registration=%d control=%d reason=%s".formatted(registrationLease, controlLease, e.detail()));
@@ -177,6 +196,11 @@
         wakeUps.drainPermits();
     }
 
+    private boolean isRegistrationDue() {
+        long nowNanos = System.nanoTime();
+        return nowNanos - registrationDueNanos >= 0 && nowNanos - notRegisteredBeforeNanos >= 0;
+    }
+
     /** Forgets the leases of an older era: their ids may belong to other routers now. */
     private void dropLostLeases() {
         if (claim.takeRestore()) {
@@ -187,8 +211,8 @@
             registrationLease = 0;
             controlLease = 0;
             isRegistered = false;
-            registrationDueNanos =
-                    System.nanoTime() + ThreadLocalRandom.current().nextLong(REGISTRATION_SPREAD_MILLIS) * 1_000_000L;
+            registrationDueNanos = System.nanoTime();
+            notRegisteredBeforeNanos = registrationDueNanos + random.nextLong(REGISTRATION_SPREAD_MILLIS) * 1_000_000L;
         }
     }
 
@@ -216,16 +240,25 @@
         return sentNanos + (timeToLiveMillis - EXPIRY_MARGIN_MILLIS) * 1_000_000L;
     }
 
+    /** Writes the registration; it is read first only if one of an earlier process or lease is still there. */
     private void register() {
         String key = StoreKeys.router(self.routerId());
-        long expected = store.get(key).map(Item::revision).orElse(0L);
-        Change change = new Change(key, expected, entry(registrationLease), registrationLease);
-        isRegistered = store.write(change).outcome() == WriteOutcome.ACCEPTED;
+        WriteOutcome outcome = writeRegistration(key, 0);
+        if (outcome != WriteOutcome.ACCEPTED) {
+            long expected = store.get(key).map(Item::revision).orElse(0L);
+            outcome = writeRegistration(key, expected);
+        }
+        isRegistered = outcome == WriteOutcome.ACCEPTED;
         registeredNanos = System.nanoTime();
         EventLog.info(
                 "registered", "lease=%d accepted=%s era=%d".formatted(registrationLease, isRegistered, store.era()));
     }
 
+    private WriteOutcome writeRegistration(String key, long expectedRevision) {
+        return store.write(new Change(key, expectedRevision, entry(registrationLease), registrationLease))
+                .outcome();
+    }
+
     private byte[] entry(long leaseId) {
         return Json.write(self.withLease(leaseId, store.era()));
     }
@@ -258,26 +291,21 @@
         claim.recordLost();
     }
 
+    /** Only the controller writes the secret: the others can't connect before there is a controller anyway. */
     private void createMissingSecret() {
-        if (isControllerKnown && (isSecretMissing || mustRestoreSecret)) {
-            isSecretMissing = false;
+        if (isController() && (isSecretMissing || mustRestoreSecret)) {
             Optional<String> known = Optional.ofNullable(knownSecret);
             WriteOutcome outcome = store.write(
-                            new Change(StoreKeys.PEER_SECRET, 0, Json.write(known.orElseGet(LeaseDuty::newSecret)), 0))
+                            new Change(StoreKeys.PEER_SECRET, 0, Json.write(known.orElseGet(RandomSecret::create)), 0))
                     .outcome();
-            mustRestoreSecret = mustRestoreSecret && outcome == WriteOutcome.UNKNOWN;
+            isSecretMissing = outcome == WriteOutcome.UNKNOWN;
+            mustRestoreSecret = mustRestoreSecret && isSecretMissing;
             if (known.isPresent()) {
                 EventLog.info("peer-secret-restored", "outcome=" + outcome + " era=" + store.era());
             }
         }
     }
 
-    private static String newSecret() {
-        byte[] secret = new byte[SECRET_BYTES];
-        new SecureRandom().nextBytes(secret);
-        return HexFormat.of().formatHex(secret);
-    }
-
     private void acquireControl() {
         if (isController() || !isControllerKnown || isDeferring()) {
             return;
@@ -325,8 +353,26 @@
     }
 
     private boolean isDeferring() {
-        return self.cores() < mostCores
-                && clockNanos.getAsLong() - uncontrolledSinceNanos < DEFERENCE_MILLIS * 1_000_000L;
+        return deferenceNanos() - (clockNanos.getAsLong() - uncontrolledSinceNanos) > 0;
+    }
+
+    /** Returns how long this router leaves the control to others: to larger VMs first, then to earlier candidates. */
+    private long deferenceNanos() {
+        long millis = (self.cores() < mostCores ? DEFERENCE_MILLIS : 0)
+                + (candidateRank >= FIRST_CANDIDATES ? DEFERENCE_MILLIS : 0);
+        return millis * 1_000_000L;
+    }
+
+    /** Returns the delay until the next step: until the next renewal, or until this router may take the control. */
+    private long delayMillis() {
+        if (claim.isPending()) {
+            return Math.max(MIN_DELAY_MILLIS, Math.min(RENEW_INTERVAL_MILLIS, claim.remainingMillis()));
+        }
+        if (isController() || !isControllerKnown || isControlled) {
+            return RENEW_INTERVAL_MILLIS;
+        }
+        long remainingNanos = deferenceNanos() - (clockNanos.getAsLong() - uncontrolledSinceNanos);
+        return Math.max(MIN_DELAY_MILLIS, Math.min(RENEW_INTERVAL_MILLIS, remainingNanos / 1_000_000L + 1));
     }
 
     private boolean isHeldBy(long lease) {
