--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/KeyMapListingStore.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/KeyMapListingStore.java
@@ -21,6 +21,11 @@
         this.keyMaps = keyMaps;
     }
 
+    @Override
+    public long era() {
+        return store.era();
+    }
+
     @Override
     public Optional<Item> get(String key) {
         return store.get(key);
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -94,9 +94,11 @@
                         blockingPut(servingEvents),
                         this::offerKeyEvent,
                         EventLog::info)) {
-            CoordinationStore store =
-                    new CountedStore(new StoreClient(loop, settings.store(), dialect.store()), metrics);
+            StoreClient client = new StoreClient(loop, settings.store(), dialect.store());
+            CoordinationStore store = new CountedStore(client, metrics);
             LeaseDuty lease = createLeaseDuty(store);
+            client.onNewEra(lease::recordEra);
+            metrics.registerStoreEra(client::era);
             KeyMapPollDuty polls = new KeyMapPollDuty(
                     store,
                     controller::isReceivingKeyMaps,
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ServingMetricsTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ServingMetricsTest.java
@@ -105,6 +105,7 @@
         metrics.storeRead("op/", "list");
         metrics.callerFull();
         metrics.registerCallerBytes(new ByteBudget(1));
+        metrics.registerStoreEra(() -> 1);
         metrics.registerViewAge("op/", () -> 40);
         metrics.registerOpenRequests(() -> 1);
         metrics.registerRingDepth(new ArrayRing<>("decisions", 4));
