--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpLoop.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/HttpLoop.java
@@ -38,6 +38,9 @@
     /** Interval between sweeps for stale connections, in milliseconds. */
     private static final long SWEEP_MILLIS = 1_000;
 
+    /** Limit of all buffered responses together where none is given, in bytes: the share of a heap of 160 MB. */
+    private static final long DEFAULT_RESPONSE_BUDGET_BYTES = 24L << 20;
+
     private static final long CLOSE_TIMEOUT_MILLIS = 500;
 
     private final ExtraResponseListener extraResponses;
@@ -76,7 +79,7 @@
 
     /** Starts the event loop as above; {@code extraResponses} receives the responses that no call was waiting for. */
     static HttpLoop start(String threadName, ExtraResponseListener extraResponses) {
-        return start(threadName, extraResponses, MemoryShares.ofThisProcess(0).backendBytes());
+        return start(threadName, extraResponses, DEFAULT_RESPONSE_BUDGET_BYTES);
     }
 
     /** Starts the event loop as above; all buffered responses together take at most {@code responseBudgetBytes}. */
