--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/HotRangeMean.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/HotRangeMean.java
@@ -17,6 +17,18 @@
         return replays.stream().mapToDouble(figure).average().orElse(0);
     }
 
+    double withoutRoomMillis() {
+        return mean(HotRangeScenario::withoutRoomMillis);
+    }
+
+    double movedRatio() {
+        return mean(replay -> replay.ownership().movedRatio());
+    }
+
+    double returnedRatio() {
+        return mean(replay -> replay.ownership().returnedRatio());
+    }
+
     double doubleOwners() {
         return mean(replay -> replay.result().doubleOwners());
     }
@@ -30,10 +42,10 @@
                                 .map(HotRangeScenario::firstRoomMillis)
                                 .map(millis -> millis.isNaN() ? -1 : Math.round(millis))
                                 .toList(),
-                        mean(HotRangeScenario::withoutRoomMillis),
+                        withoutRoomMillis(),
                         mean(replay -> replay.ownership().moves()),
-                        mean(replay -> replay.ownership().movedRatio()),
-                        mean(replay -> replay.ownership().returnedRatio()),
+                        movedRatio(),
+                        returnedRatio(),
                         mean(replay -> replay.result().rejections(CoreErrorCode.NO_OWNER)),
                         mean(replay -> replay.result().withinObjectiveRatio()),
                         mean(replay -> replay.result().answeredRatio()),
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/HotRangeReplayTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/HotRangeReplayTest.java
@@ -14,6 +14,10 @@
     private static final int RANGE_KEYS = 200;
     private static final double RANGE_FRACTION = 0.33;
     private static final double KEY_FRACTION = 0.16;
+    /** Target: a hot range has owners with room within 1 s of its start. */
+    private static final double MAX_WITHOUT_ROOM_MILLIS = 1_000;
+    /** Target: fewer keys than one server owns on average change owner. */
+    private static final double SERVER_SHARE = 1.0 / HotRangeScenario.SERVERS;
 
     /** Guards against a hot range that stays at its first owner while other servers are free. */
     @Test
@@ -21,17 +25,22 @@
         HotRangeMean mean = replay(START_MILLIS, START_MILLIS + 2 * HOT_MILLIS, HotRangeReplayTest::heatRange);
 
         assertThat(mean.doubleOwners()).as(mean.toString()).isZero();
+        assertThat(mean.withoutRoomMillis()).as(mean.toString()).isLessThan(MAX_WITHOUT_ROOM_MILLIS);
+        assertThat(mean.movedRatio()).as(mean.toString()).isLessThan(SERVER_SHARE);
+        assertThat(mean.returnedRatio()).as(mean.toString()).isZero();
     }
 
-    /** Guards against a hot key that shares its owner with other keys. */
+    /** Guards against moves of many keys for one; its owner gives away at most what two servers own. */
     @Test
-    void shouldGiveAHotKeyRoom() {
+    void shouldMoveFewKeysToGiveAHotKeyRoom() {
         HotRangeMean mean = replay(
                 START_MILLIS,
                 START_MILLIS + 2 * HOT_MILLIS,
                 scenario -> scenario.heat(KEY_FRACTION, 1, START_MILLIS, HOT_MILLIS));
 
         assertThat(mean.doubleOwners()).as(mean.toString()).isZero();
+        assertThat(mean.movedRatio()).as(mean.toString()).isLessThan(2 * SERVER_SHARE);
+        assertThat(mean.returnedRatio()).as(mean.toString()).isZero();
     }
 
     /** Guards against keys that wait for each other's moves when many have to move at once. */
@@ -52,6 +61,8 @@
         HotRangeMean mean = replay(3_000, DAY_END_MILLIS, scenario -> {});
 
         assertThat(mean.doubleOwners()).as(mean.toString()).isZero();
+        assertThat(mean.movedRatio()).as(mean.toString()).isLessThan(SERVER_SHARE);
+        assertThat(mean.returnedRatio()).as(mean.toString()).isZero();
     }
 
     private static void heatRange(HotRangeScenario scenario) {
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/HotRangeScenario.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/HotRangeScenario.java
@@ -11,7 +11,7 @@
  * disturbances. Not thread-safe.
  */
 final class HotRangeScenario {
-    private static final int SERVERS = 18;
+    static final int SERVERS = 18;
     private static final int SLOTS = 3;
     private static final int ROUTERS = 10;
     private static final int DATA_CENTRES = 3;
