Detect a change of load against the usual rate

Cause: the test for a change used the deviation of the recent rate. A hot key of 17 requests a second failed it, since the usual rate rose before the recent one was certain. Change: the deviation is that of the usual rate, with at least 6 requests.

--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LoadTracker.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LoadTracker.java
@@ -22,12 +22,16 @@
     /** Time constant of the recent rates, in milliseconds: owners of a hot range need room within 1 s of its start. */
     private static final double RECENT_DECAY_MILLIS = 400;
     /** The recent rate replaces the usual one if they differ by this many standard deviations. */
-    private static final double CHANGE_DEVIATIONS = 3;
+    private static final double CHANGE_DEVIATIONS = 3.5;
     /**
      * A rate that rises is assumed to be above the measured one by this many standard deviations: reports are on
      * average 150 ms old, and a second plan would move keys again.
      */
     private static final double RISING_DEVIATIONS = 3;
+    /** Fewer requests than this in the window of the recent rate may be chance. */
+    private static final double MIN_REQUESTS = 6;
+    /** Lower rates are tested like this one, in requests per second: few requests are not normally distributed. */
+    private static final double MIN_TESTED_RATE = 2;
     /** Keys of a block that is tested for a change on its own: about as many as a hot range has. */
     private static final int BLOCK_KEYS = 256;
     /**
@@ -85,12 +89,13 @@
         return new RangeDemand(recent, first, last, factor, baselinePerKey, true);
     }
 
-    /** Returns whether the recent rate of the keys certainly differs from the usual one. */
+    /** Returns whether the recent rate of the keys is hardly possible by chance while the usual one lasts. */
     private boolean hasChanged(int first, int last) {
         double usualRate = usual.rate(first, last);
         double recentRate = recent.rate(first, last);
-        double deviation = recent.deviation(Math.max(usualRate, recentRate));
-        return Math.abs(recentRate - usualRate) > CHANGE_DEVIATIONS * deviation;
+        double deviation = recent.deviation(Math.max(usualRate, MIN_TESTED_RATE));
+        return Math.abs(recentRate - usualRate) > CHANGE_DEVIATIONS * deviation
+                && Math.max(usualRate, recentRate) * recent.windowSeconds() >= MIN_REQUESTS;
     }
 
     /** Returns whether a part of a range is hot now and wasn't, which the rate of the whole range shows only later. */
