--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingEvent.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingEvent.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.daisyscale.core.quota.QuotaGrant;
 
 /** An event that the request path handles. Immutable. */
 public sealed interface ServingEvent {
@@ -38,11 +39,23 @@
      * @param outcome how it ended
      * @param load the load that the server reported, if any
      * @param notice what the server announced
+     * @param responseBytes the size of the response's body, in bytes; 0 without a response
      */
     record AttemptEnded(
-            long requestId, int attempt, AttemptOutcome outcome, Optional<LoadReport> load, ServerNotice notice)
+            long requestId,
+            int attempt,
+            AttemptOutcome outcome,
+            Optional<LoadReport> load,
+            ServerNotice notice,
+            long responseBytes)
             implements ServingEvent {
 
+        /** Creates the event of an attempt without a response body. */
+        public AttemptEnded(
+                long requestId, int attempt, AttemptOutcome outcome, Optional<LoadReport> load, ServerNotice notice) {
+            this(requestId, attempt, outcome, load, notice, 0);
+        }
+
         /** Creates the event of an attempt with which the server announced nothing. */
         public AttemptEnded(long requestId, int attempt, AttemptOutcome outcome, Optional<LoadReport> load) {
             this(requestId, attempt, outcome, load, ServerNotice.NONE);
@@ -136,6 +149,12 @@
     /** Another router reported {@code news}. */
     record NewsReceived(FleetNews news) implements ServingEvent {}
 
+    /** The controller granted credits of the organisations' allowances, or denied them. */
+    record QuotaGranted(QuotaGrant grant) implements ServingEvent {}
+
+    /** The VM was suspended, and the monotonic clock did not count the time. */
+    record Suspended() implements ServingEvent {}
+
     /** Time passed; a timer may be due. */
     record TimePassed() implements ServingEvent {}
 }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/LeaseDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/LeaseDuty.java
@@ -1,13 +1,13 @@
 package org.daisyscale.router.internal.serving;
 
-import java.security.SecureRandom;
 import java.time.Duration;
-import java.util.HexFormat;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
 import org.daisyscale.core.keys.KeyEvent;
 import org.daisyscale.core.platform.CoordinationStore;
 import org.daisyscale.core.platform.CoordinationStore.Change;
@@ -21,8 +21,10 @@
 /**
  * Holds the leases of this router. One registers the router until its process ends, so that other routers count it
  * while it serves. The other one holds the control of the keys; it is acquired when no other router is the controller
- * and released when this router stops. The lifetime of a lease counts from before its renewal was sent. Thread-safe
- * except for {@link #runStep}, which is confined to one thread.
+ * and released when this router stops. The lifetime of a lease counts from before its renewal was sent. All leases end
+ * when the store was restored from an older copy, also those that the store renews.
+ *
+ * <p>Thread-safe except for {@link #runStep}, which is confined to one thread.
  */
 final class LeaseDuty {
     /**
@@ -61,27 +63,34 @@
      */
     private static final long EXPIRY_MARGIN_MILLIS = 200;
 
-    private static final int SECRET_BYTES = 24;
+    /** Longest delay of the new registration after a restore, in milliseconds: spreads the calls of all routers. */
+    private static final long REGISTRATION_SPREAD_MILLIS = 1_000;
 
     private final CoordinationStore store;
     private final RouterEntry self;
     private final Consumer<ServingEvent> servingEvents;
     private final Consumer<KeyEvent> keyEvents;
     private final Semaphore wakeUps = new Semaphore(0);
-    private final SuspensionDetector suspensions;
     private final LongSupplier clockNanos;
+    private final RandomGenerator random = new SplittableRandom();
+    private final ControlClaim claim;
     private volatile boolean isControllerKnown;
     private volatile boolean isControlled = true;
     private volatile boolean isSecretMissing;
     private volatile boolean isStopping;
+    private volatile String knownSecret;
     private volatile double mostCores;
     private volatile int candidateRank;
     private volatile long uncontrolledSinceNanos;
     private long registrationLease;
     private long registrationDueNanos = System.nanoTime();
+    /** Before this time the router doesn't register again, so that the calls of all routers are spread. */
+    private long notRegisteredBeforeNanos = registrationDueNanos;
+
     private boolean isRegistered;
     private long registeredNanos;
     private long controlLease;
+    private boolean mustRestoreSecret;
 
     LeaseDuty(
             CoordinationStore store,
@@ -94,8 +103,24 @@
         this.self = self;
         this.servingEvents = servingEvents;
         this.keyEvents = keyEvents;
-        this.suspensions = suspensions;
         this.clockNanos = clockNanos;
+        this.claim = new ControlClaim(suspensions, clockNanos, keyEvents, new SplittableRandom());
+    }
+
+    /** Drops all leases, because the store was restored from an older copy, which begins {@code newEra}. */
+    void recordEra(long newEra) {
+        claim.recordRestore(newEra);
+        wakeUps.release();
+    }
+
+    /** Records a controller in the store; one of an older era has lost its lease. */
+    void recordController(RouterEntry controller) {
+        claim.recordController(controller.era());
+    }
+
+    /** Records the secret of the peers, which is written again if a restored store lacks it. */
+    void recordSecret(String secret) {
+        knownSecret = secret;
     }
 
     /**
@@ -139,14 +164,17 @@
     void runStep() throws InterruptedException {
         long delayMillis = RENEW_INTERVAL_MILLIS;
         try {
-            if (System.nanoTime() - registrationDueNanos >= 0) {
+            dropLostLeases();
+            if (isRegistrationDue()) {
                 registrationDueNanos = System.nanoTime() + REGISTRATION_RENEW_INTERVAL_MILLIS * 1_000_000L;
                 renewRegistration();
             }
             if (isStopping) {
                 releaseControl();
             } else {
+                dropLostLeases();
                 renewControl();
+                dropLostLeases();
                 acquireControl();
                 createMissingSecret();
                 delayMillis = delayMillis();
@@ -157,6 +185,9 @@
             EventLog.info(
                     "lease-call-failed",
                     "registration=%d control=%d reason=%s".formatted(registrationLease, controlLease, e.detail()));
+            if (e.errorCode() == StoreException.Code.UNREACHABLE) {
+                claim.recordUnanswered();
+            }
             if (isController()) {
                 keyEvents.accept(new KeyEvent.LeaseInDoubt());
             }
@@ -165,6 +196,26 @@
         wakeUps.drainPermits();
     }
 
+    private boolean isRegistrationDue() {
+        long nowNanos = System.nanoTime();
+        return nowNanos - registrationDueNanos >= 0 && nowNanos - notRegisteredBeforeNanos >= 0;
+    }
+
+    /** Forgets the leases of an older era: their ids may belong to other routers now. */
+    private void dropLostLeases() {
+        if (claim.takeRestore()) {
+            EventLog.warn(
+                    "leases-lost",
+                    "registration=%d control=%d era=%d: the store was restored"
+                            .formatted(registrationLease, controlLease, store.era()));
+            registrationLease = 0;
+            controlLease = 0;
+            isRegistered = false;
+            registrationDueNanos = System.nanoTime();
+            notRegisteredBeforeNanos = registrationDueNanos + random.nextLong(REGISTRATION_SPREAD_MILLIS) * 1_000_000L;
+        }
+    }
+
     private void renewRegistration() {
         long sentNanos = System.nanoTime();
         if (registrationLease == 0) {
@@ -199,7 +250,8 @@
         }
         isRegistered = outcome == WriteOutcome.ACCEPTED;
         registeredNanos = System.nanoTime();
-        EventLog.info("registered", "lease=" + registrationLease + " accepted=" + isRegistered);
+        EventLog.info(
+                "registered", "lease=%d accepted=%s era=%d".formatted(registrationLease, isRegistered, store.era()));
     }
 
     private WriteOutcome writeRegistration(String key, long expectedRevision) {
@@ -208,7 +260,7 @@
     }
 
     private byte[] entry(long leaseId) {
-        return Json.write(self.withLease(leaseId));
+        return Json.write(self.withLease(leaseId, store.era()));
     }
 
     private boolean isController() {
@@ -220,7 +272,7 @@
             return;
         }
         long sentNanos = System.nanoTime();
-        suspensions.wasSuspended();
+        claim.startRenewal();
         if (store.renewLease(controlLease)) {
             reportRenewal(sentNanos);
         } else {
@@ -229,50 +281,77 @@
         }
     }
 
-    /** Reports a renewal that was sent at {@code sentNanos}, unless the VM was suspended since. */
+    /** Reports a renewal that was sent at {@code sentNanos}, unless the VM was suspended or the lease lost since. */
     private void reportRenewal(long sentNanos) {
-        if (suspensions.wasSuspended()) {
-            EventLog.warn("lease-renewal-ignored", "the VM was suspended meanwhile; lease=" + controlLease);
-        } else {
-            keyEvents.accept(new KeyEvent.LeaseRenewed(validUntil(sentNanos, CONTROL_TIME_TO_LIVE_MILLIS)));
-        }
+        claim.recordRenewal(sentNanos, CONTROL_TIME_TO_LIVE_MILLIS - EXPIRY_MARGIN_MILLIS, controlLease, store.era());
     }
 
     private void loseControl() {
         controlLease = 0;
-        keyEvents.accept(new KeyEvent.LeaseLost());
+        claim.recordLost();
     }
 
     /** Only the controller writes the secret: the others can't connect before there is a controller anyway. */
     private void createMissingSecret() {
-        if (isController() && isSecretMissing) {
-            byte[] secret = new byte[SECRET_BYTES];
-            new SecureRandom().nextBytes(secret);
-            WriteOutcome outcome = store.write(new Change(
-                            StoreKeys.PEER_SECRET, 0, Json.write(HexFormat.of().formatHex(secret)), 0))
+        if (isController() && (isSecretMissing || mustRestoreSecret)) {
+            Optional<String> known = Optional.ofNullable(knownSecret);
+            WriteOutcome outcome = store.write(
+                            new Change(StoreKeys.PEER_SECRET, 0, Json.write(known.orElseGet(RandomSecret::create)), 0))
                     .outcome();
             isSecretMissing = outcome == WriteOutcome.UNKNOWN;
+            mustRestoreSecret = mustRestoreSecret && isSecretMissing;
+            if (known.isPresent()) {
+                EventLog.info("peer-secret-restored", "outcome=" + outcome + " era=" + store.era());
+            }
         }
     }
 
     private void acquireControl() {
-        if (isController() || !isControllerKnown || isControlled || isDeferring()) {
+        if (isController() || !isControllerKnown || isDeferring()) {
             return;
         }
+        if (claim.isDue()) {
+            claimControl();
+        } else if (!isControlled && !claim.isPending()) {
+            acquireControl(0);
+        }
+    }
+
+    /** Acquires the control in a new era unless another router has it; the entry of an older era is replaced. */
+    private void claimControl() {
+        Optional<Item> found = store.get(StoreKeys.CONTROLLER);
+        boolean isTaken = found.map(LeaseDuty::controllerIn)
+                .filter(entry -> entry.era() >= store.era())
+                .isPresent();
+        if (isTaken) {
+            isControlled = true;
+        } else {
+            acquireControl(found.map(Item::revision).orElse(0L));
+            mustRestoreSecret = isController() && knownSecret != null;
+        }
+        claim.end();
+    }
+
+    /** Acquires the control if the controller's item still has {@code expectedRevision}, or is absent for 0. */
+    private void acquireControl(long expectedRevision) {
         long sentNanos = System.nanoTime();
-        suspensions.wasSuspended();
+        claim.startRenewal();
         long lease = store.grantLease(Duration.ofMillis(CONTROL_TIME_TO_LIVE_MILLIS));
-        WriteOutcome outcome = store.write(new Change(StoreKeys.CONTROLLER, 0, entry(lease), lease))
+        WriteOutcome outcome = store.write(new Change(StoreKeys.CONTROLLER, expectedRevision, entry(lease), lease))
                 .outcome();
         boolean isAcquired = outcome == WriteOutcome.ACCEPTED || (outcome == WriteOutcome.UNKNOWN && isHeldBy(lease));
         if (isAcquired && store.renewLease(lease)) {
             controlLease = lease;
-            EventLog.info("control-taken", "lease=" + lease);
+            EventLog.info("control-taken", "lease=" + lease + " era=" + store.era());
             reportRenewal(sentNanos);
         }
         isControlled = true;
     }
 
+    private static RouterEntry controllerIn(Item item) {
+        return Json.read(item.value(), RouterEntry.class);
+    }
+
     private boolean isDeferring() {
         return deferenceNanos() - (clockNanos.getAsLong() - uncontrolledSinceNanos) > 0;
     }
@@ -286,6 +365,9 @@
 
     /** Returns the delay until the next step: until the next renewal, or until this router may take the control. */
     private long delayMillis() {
+        if (claim.isPending()) {
+            return Math.max(MIN_DELAY_MILLIS, Math.min(RENEW_INTERVAL_MILLIS, claim.remainingMillis()));
+        }
         if (isController() || !isControllerKnown || isControlled) {
             return RENEW_INTERVAL_MILLIS;
         }
@@ -295,8 +377,9 @@
 
     private boolean isHeldBy(long lease) {
         Optional<Item> item = store.get(StoreKeys.CONTROLLER);
-        return item.map(found -> Json.read(found.value(), RouterEntry.class).leaseId() == lease)
-                .orElse(false);
+        return item.map(LeaseDuty::controllerIn)
+                .filter(entry -> entry.leaseId() == lease && entry.routerId().equals(self.routerId()))
+                .isPresent();
     }
 
     private void releaseControl() {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/RouterListener.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/RouterListener.java
@@ -46,10 +46,13 @@
             RouterEntry entry = Json.read(item.value(), RouterEntry.class);
             isControlled = true;
             controllerId = entry.routerId();
+            lease.recordController(entry);
             controller.setController(entry);
         } else if (item.key().equals(StoreKeys.PEER_SECRET)) {
             hasSecret = true;
-            controller.startNetwork(Json.read(item.value(), String.class));
+            String secret = Json.read(item.value(), String.class);
+            lease.recordSecret(secret);
+            controller.startNetwork(secret);
         }
         lease.recordStoreState(isControlled, !hasSecret);
     }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingMetrics.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingMetrics.java
@@ -31,6 +31,7 @@
     private final Counter extraResponses;
     private final Counter controllerUpdates;
     private final Counter storeReads;
+    private final OrganisationMetrics organisations = new OrganisationMetrics(registry);
     private final Counter storeCalls;
     private final Counter unreadResponses;
     private final AtomicLong configurationVersion = new AtomicLong();
@@ -74,6 +75,11 @@
                 .register(registry);
     }
 
+    /** Returns the metrics of the organisations' allowances. */
+    OrganisationMetrics organisations() {
+        return organisations;
+    }
+
     private Counter counter(String name, String help, String... labels) {
         return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
     }
@@ -143,6 +149,11 @@
         registerGauge("daisyscale_serving_open_requests", "Requests without a final answer", count);
     }
 
+    /** Registers the era of the store, which rises each time the store is restored from an older copy. */
+    void registerStoreEra(LongSupplier era) {
+        registerGauge("daisyscale_serving_store_era", "Era of the store; rises with each restore", era::getAsLong);
+    }
+
     /** Registers the number of events that wait in {@code ring}. */
     void registerRingDepth(Ring<?> ring) {
         registerGauge("daisyscale_serving_ring_depth_" + ring.name(), "Events waiting", ring::size);
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/LeasedStore.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/LeasedStore.java
@@ -19,6 +19,7 @@
     private Runnable onRenewal = () -> {};
     private long revision;
     private long lastLease;
+    private long era;
     private int callCount;
 
     /** Makes each renewal run {@code action} first. */
@@ -26,6 +27,17 @@
         onRenewal = action;
     }
 
+    /** Ends all leases and their items, as a restore from an older copy does, and begins {@code newEra}. */
+    void loseLeases(long newEra) {
+        Set.copyOf(leases).forEach(this::endLease);
+        era = newEra;
+    }
+
+    @Override
+    public long era() {
+        return era;
+    }
+
     /** Returns the number of writes and of granted leases. */
     int callCount() {
         return callCount;
