--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/HotKeyStep.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/HotKeyStep.java
@@ -6,31 +6,23 @@
 import org.daisyscale.core.serving.KeyAssignment.Owner;
 
 /**
- * Moves a key that is too hot for its owner to the server that has the most capacity for it. A single key can't be
- * split, so its throughput depends on its owner's speed and other load; {@link OverloadStep} moves the owner's other
- * keys away. Stateless.
+ * Moves a key that is too hot for its owner to the fastest server. A single key can't be split, so its throughput
+ * depends on its owner's speed, and the owner's other keys have to move away, which {@link BalanceStep} does.
+ * Stateless.
  */
 final class HotKeyStep implements PlanStep {
     /** Above this fraction of its owner's capacity, requests for a key queue behind each other. */
     private static final double HOT_FRACTION = 0.6;
-    /** Fewer requests than this in the window of the measurement may be chance. */
-    private static final double MIN_HOT_REQUESTS = 5;
-    /**
-     * The other server's utilization with the key may exceed that of the key's owner without its other keys by this
-     * factor at most: else moving the owner's other keys away serves the key better.
-     */
-    private static final double MAX_UTILIZATION_FACTOR = 1.1;
-
-    /** The same for a key whose owner has hardly other load: the move pauses it for about one request's latency. */
-    private static final double ALONE_FACTOR = 0.77;
-    /** A key with more than this fraction of its owner's load is alone there. */
-    private static final double ALONE_FRACTION = 0.95;
+    /** Fewer requests than this in the decay window may be chance. */
+    private static final double MIN_HOT_REQUESTS = 10;
+    /** The other server must be faster by this factor, since a move costs about the latency of one request. */
+    private static final double MIN_SPEED_RATIO = 1.3;
 
     @Override
     public void plan(MapDraft draft, PlanContext context) {
         ServerLoads loads = new ServerLoads(draft, context);
         for (KeyAssignment assignment : draft.assignments()) {
-            if (assignment.isSettled() && loads.isKnown(assignment.owner())) {
+            if (assignment.isSettled()) {
                 planFor(assignment, draft, loads, context);
             }
         }
@@ -38,37 +30,24 @@
 
     private static void planFor(KeyAssignment assignment, MapDraft draft, ServerLoads loads, PlanContext context) {
         Owner owner = assignment.owner();
-        RangeDemand demand = context.load().demand(assignment);
-        if (demand.rate() < loads.capacity(owner) * HOT_FRACTION) {
-            return;
-        }
-        int key = demand.hottestKey(assignment.firstKey(), assignment.lastKey());
-        double rate = demand.rate(key, key);
-        boolean isChance = demand.requestCount(key, key) < MIN_HOT_REQUESTS;
-        boolean isOverloaded = loads.certainRate(owner, 0) > OverloadStep.OVERLOAD_UTILIZATION * loads.capacity(owner);
-        if (isChance || !isOverloaded || rate < loads.capacity(owner) * HOT_FRACTION) {
+        int key = context.load().hottestKey(assignment);
+        double rate = context.load().rate(key);
+        boolean isChance = rate * context.load().windowSeconds() < MIN_HOT_REQUESTS;
+        if (isChance || !loads.isKnown(owner) || rate < loads.capacity(owner) * HOT_FRACTION) {
             return;
         }
-        betterServer(key, rate, owner, loads, context).ifPresent(newOwner -> {
+        fasterServer(loads, owner).ifPresent(newOwner -> {
             draft.move(assignment, key, key, newOwner);
             loads.add(owner, -rate);
             loads.add(newOwner, rate);
         });
     }
 
-    /** Returns the server that the key would utilize least, if that is no more than a server with only this key. */
-    private static Optional<Owner> betterServer(
-            int key, double rate, Owner owner, ServerLoads loads, PlanContext context) {
-        boolean isAlone = rate > loads.rate(owner) * ALONE_FRACTION;
-        double maxUtilization = rate / loads.capacity(owner) * (isAlone ? ALONE_FACTOR : MAX_UTILIZATION_FACTOR);
-        return loads.owners().stream()
-                .filter(other -> !other.equals(owner))
-                .filter(other -> !context.history().hasLeft(other, key, key, context.nowNanos()))
-                .min(Comparator.comparingDouble(other -> utilizationWith(rate, other, loads)))
-                .filter(other -> utilizationWith(rate, other, loads) < maxUtilization);
-    }
-
-    private static double utilizationWith(double rate, Owner owner, ServerLoads loads) {
-        return (loads.rate(owner) + rate) / loads.capacity(owner);
+    /** Returns the fastest server that isn't overloaded, if it is faster than {@code owner} by the minimum ratio. */
+    private static Optional<Owner> fasterServer(ServerLoads loads, Owner owner) {
+        double minCapacity = loads.capacity(owner) * MIN_SPEED_RATIO;
+        return loads.mostLoadedFirst().stream()
+                .filter(other -> loads.capacity(other) > minCapacity && loads.utilization(other) <= 1)
+                .max(Comparator.comparingDouble(loads::capacity));
     }
 }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LoadTracker.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LoadTracker.java
@@ -9,36 +9,17 @@
 import org.daisyscale.core.serving.KeyMap;
 
 /**
- * Tracks the load of one service: the usual and the recent rate of requests by key, and a moving average of each
- * server's service time. Requests are counted as they arrive at the routers, so that rejected ones count too. Not
- * thread-safe; confined to the core thread.
+ * Tracks the load of one service: exponentially decayed request rates by key and a moving average of each server's
+ * service time. Not thread-safe; confined to the core thread.
  */
 final class LoadTracker {
     /**
-     * Time constant of the usual rates, in milliseconds. Calm load is told from noise by about as many requests as a
-     * server has in this time.
+     * Time constant of the decay, in milliseconds. Hot keys change within seconds; a shorter time would leave too few
+     * requests to tell load from noise.
      */
-    private static final double USUAL_DECAY_MILLIS = 4_000;
-    /** Time constant of the recent rates, in milliseconds: owners of a hot range need room within 1 s of its start. */
-    private static final double RECENT_DECAY_MILLIS = 400;
-    /** The recent rate replaces the usual one if they differ by this many standard deviations. */
-    private static final double CHANGE_DEVIATIONS = 3.5;
-    /**
-     * A rate that rises is assumed to be above the measured one by this many standard deviations: reports are on
-     * average 150 ms old, and a second plan would move keys again.
-     */
-    private static final double RISING_DEVIATIONS = 3;
-    /** Fewer requests than this in the window of the recent rate may be chance. */
-    private static final double MIN_REQUESTS = 6;
-    /** Lower rates are tested like this one, in requests per second: few requests are not normally distributed. */
-    private static final double MIN_TESTED_RATE = 2;
-    /** Keys of a block that is tested for a change on its own: about as many as a hot range has. */
-    private static final int BLOCK_KEYS = 256;
-    /**
-     * Least weight of one report in a server's average service time: about the last hundred reports count, 20 s of
-     * them. Slow moments of 0.4 s change nothing that a move of keys could mend.
-     */
-    private static final double MIN_SAMPLE_WEIGHT = 0.01;
+    private static final double DECAY_MILLIS = 2_000;
+    /** Least weight of one report in a server's average service time: about the last thirty reports count. */
+    private static final double MIN_SAMPLE_WEIGHT = 0.03;
     /** Reports that the prior of a server's average counts for: about one second of them from several routers. */
     private static final int PRIOR_REPORTS = 8;
     /**
@@ -52,17 +33,27 @@
     /** Baseline rate of all keys of a service together, in requests per second: only breaks ties. */
     private static final double TOTAL_BASELINE_RATE = 1;
 
-    private final DecayedCounts usual = new DecayedCounts(USUAL_DECAY_MILLIS);
-    private final DecayedCounts recent = new DecayedCounts(RECENT_DECAY_MILLIS);
+    /** Counts are scaled down once the scale exceeds this, before they leave the range of a double. */
+    private static final double MAX_SCALE = 1e100;
+
+    /**
+     * Decayed request counts by key, multiplied by {@code scale}. Decay raises the scale and leaves the counts as they
+     * are.
+     */
+    private final double[] scaledCountByKey = new double[KeyMap.KEY_COUNT];
+
     private final Map<String, MovingAverage> serviceMillisByServer = new HashMap<>();
+    private long decayedNanos;
+    private long startedNanos;
+    private boolean isStarted;
+    private double scale = 1;
 
     /** Records the requests and service times that a router reported. Ignores keys out of range. */
     void add(KeyLoad load, long nowNanos) {
         decayTo(nowNanos);
-        load.keys().stream().filter(key -> 0 <= key && key < KeyMap.KEY_COUNT).forEach(key -> {
-            usual.add(key);
-            recent.add(key);
-        });
+        load.keys().stream()
+                .filter(key -> 0 <= key && key < KeyMap.KEY_COUNT)
+                .forEach(key -> scaledCountByKey[key] += scale);
         load.serviceMillisByServer()
                 .forEach((server, millis) -> serviceMillisByServer
                         .computeIfAbsent(server, id -> new MovingAverage(meanServiceMillis()))
@@ -71,49 +62,66 @@
 
     /** Decays all counts up to {@code nowNanos}. */
     void decayTo(long nowNanos) {
-        usual.decayTo(nowNanos);
-        recent.decayTo(nowNanos);
+        if (!isStarted) {
+            isStarted = true;
+            startedNanos = nowNanos;
+            decayedNanos = nowNanos;
+        }
+        scale *= Math.exp((nowNanos - decayedNanos) / 1e6 / DECAY_MILLIS);
+        decayedNanos = nowNanos;
+        if (scale > MAX_SCALE) {
+            scaleDown();
+        }
     }
 
-    /** Returns the demand for a range: the usual one, or the recent one if that certainly differs. */
-    RangeDemand demand(KeyAssignment range) {
-        int first = range.firstKey();
-        int last = range.lastKey();
-        double baselinePerKey = TOTAL_BASELINE_RATE / KeyMap.KEY_COUNT;
-        if (!hasChanged(first, last) && !hasHotBlock(first, last)) {
-            return new RangeDemand(usual, first, last, 1, baselinePerKey, false);
+    private void scaleDown() {
+        for (int key = 0; key < KeyMap.KEY_COUNT; key++) {
+            scaledCountByKey[key] /= scale;
         }
-        double rate = recent.rate(first, last);
-        boolean isRising = rate > usual.rate(first, last);
-        double factor = isRising ? 1 + RISING_DEVIATIONS * recent.deviation(rate) / rate : 1;
-        return new RangeDemand(recent, first, last, factor, baselinePerKey, true);
+        scale = 1;
     }
 
-    /** Returns whether the recent rate of the keys is hardly possible by chance while the usual one lasts. */
-    private boolean hasChanged(int first, int last) {
-        double usualRate = usual.rate(first, last);
-        double recentRate = recent.rate(first, last);
-        double deviation = recent.deviation(Math.max(usualRate, MIN_TESTED_RATE));
-        return Math.abs(recentRate - usualRate) > CHANGE_DEVIATIONS * deviation
-                && Math.max(usualRate, recentRate) * recent.windowSeconds() >= MIN_REQUESTS;
+    /** Returns the effective length of the decay window in seconds; short at first, while nothing has decayed. */
+    double windowSeconds() {
+        double passedMillis = Math.max(1, (decayedNanos - startedNanos) / 1e6);
+        return DECAY_MILLIS * (1 - Math.exp(-passedMillis / DECAY_MILLIS)) / 1_000;
     }
 
-    /** Returns whether a part of a range is hot now and wasn't, which the rate of the whole range shows only later. */
-    private boolean hasHotBlock(int first, int last) {
-        for (int block = first - first % BLOCK_KEYS; block <= last; block += BLOCK_KEYS) {
-            int firstOfBlock = Math.max(first, block);
-            int lastOfBlock = Math.min(last, block + BLOCK_KEYS - 1);
-            boolean isRising = recent.rate(firstOfBlock, lastOfBlock) > usual.rate(firstOfBlock, lastOfBlock);
-            if (isRising && hasChanged(firstOfBlock, lastOfBlock)) {
-                return true;
-            }
+    /** Returns the requests per second for {@code key}. */
+    double rate(int key) {
+        return scaledCountByKey[key] / scale / windowSeconds();
+    }
+
+    /** Returns the requests per second for {@code key} plus its baseline, so that idle keys are spread too. */
+    double rateWithBaseline(int key) {
+        return rate(key) + TOTAL_BASELINE_RATE / KeyMap.KEY_COUNT;
+    }
+
+    /** Returns the requests per second for a range plus its baseline. */
+    double rateWithBaseline(KeyAssignment assignment) {
+        return rate(assignment) + TOTAL_BASELINE_RATE * assignment.keyCount() / KeyMap.KEY_COUNT;
+    }
+
+    /** Returns the requests per second for the keys from {@code firstKey} to {@code lastKey}, inclusive. */
+    double rate(int firstKey, int lastKey) {
+        double sum = 0;
+        for (int key = firstKey; key <= lastKey; key++) {
+            sum += scaledCountByKey[key];
         }
-        return false;
+        return sum / scale / windowSeconds();
     }
 
-    /** Returns the usual requests per second per key, over all keys. */
-    double meanDensity() {
-        return (usual.rate(0, KeyMap.KEY_COUNT - 1) + TOTAL_BASELINE_RATE) / KeyMap.KEY_COUNT;
+    double rate(KeyAssignment assignment) {
+        return rate(assignment.firstKey(), assignment.lastKey());
+    }
+
+    /** Returns the key of {@code assignment} with the most requests. */
+    int hottestKey(KeyAssignment assignment) {
+        int hottest = assignment.firstKey();
+        for (int key = assignment.firstKey() + 1; key <= assignment.lastKey(); key++) {
+            hottest = scaledCountByKey[key] > scaledCountByKey[hottest] ? key : hottest;
+        }
+        return hottest;
     }
 
     /** Returns the capacity of {@code server} in requests per second. */
@@ -121,11 +129,6 @@
         return server.slots() * 1_000 / serviceMillis(server);
     }
 
-    /** Returns the service time of {@code server} as a multiple of the mean of all servers. */
-    double relativeServiceTime(BackendServer server) {
-        return serviceMillis(server) / meanServiceMillis();
-    }
-
     private double serviceMillis(BackendServer server) {
         MovingAverage mean = serviceMillisByServer.get(server.id());
         return mean == null ? meanServiceMillis() : mean.millis;
@@ -137,7 +140,7 @@
      */
     Map<String, Double> weightedCapacities(List<BackendServer> servers) {
         double capacity = servers.stream().mapToDouble(this::capacity).sum();
-        double utilization = Math.min(1, usual.rate(0, KeyMap.KEY_COUNT - 1) / Math.max(1, capacity));
+        double utilization = Math.min(1, rate(0, KeyMap.KEY_COUNT - 1) / Math.max(1, capacity));
         double exponent = FAST_SERVER_EXPONENT * (1 - utilization);
         Map<String, Double> weights = new HashMap<>();
         servers.forEach(server ->
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/PlanContext.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/PlanContext.java
@@ -13,7 +13,6 @@
  * @param registry all registered servers
  * @param owners when the owners' grants expire, and whether the owners answer
  * @param calls the state of the calls for each range
- * @param history which keys moved lately
  * @param nowNanos the time, in nanoseconds of the monotonic clock
  */
 record PlanContext(
@@ -23,7 +22,6 @@
         ServerRegistry registry,
         OwnerTracker owners,
         RangeCallCoordinator calls,
-        MoveHistory history,
         long nowNanos) {
 
     /** Returns whether {@code owner} may own keys and is not lost. */
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServiceKeyCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServiceKeyCoordinator.java
@@ -24,8 +24,8 @@
  * <p>Not thread-safe; confined to the core thread.
  */
 final class ServiceKeyCoordinator {
-    /** Interval of rebalancing, in milliseconds: a tenth of the time in which a hot range has to be spread. */
-    private static final long BALANCE_PERIOD_MILLIS = 100;
+    /** Interval of rebalancing, in milliseconds: about the time in which all routers send new reports. */
+    private static final long BALANCE_PERIOD_MILLIS = 200;
 
     /**
      * How long a completed move may wait to be written together with other changes, in milliseconds: it is published to
@@ -42,9 +42,7 @@
     private static final PlanStep SETTLE = new SettleStep();
     private static final PlanStep LOST_OWNER = new LostOwnerStep();
     private static final PlanStep HOT_KEY = new HotKeyStep();
-    private static final PlanStep OVERLOAD = new OverloadStep();
     private static final PlanStep BALANCE = new BalanceStep();
-    private static final PlanStep CONSOLIDATE = new ConsolidateStep();
     private static final PlanStep MERGE = new MergeStep();
 
     private final String service;
@@ -53,7 +51,6 @@
     private final RangeCallCoordinator calls;
     private final FenceBlock fences = new FenceBlock();
     private final LoadTracker load = new LoadTracker();
-    private final MoveHistory moveHistory = new MoveHistory();
     private KeyMap map;
     private KeyMap pendingMap;
     private KeyMap publishedMap;
@@ -254,8 +251,7 @@
         if (map == null) {
             return usable.isEmpty() ? Optional.empty() : Optional.of(initialMap(usable));
         }
-        PlanContext context =
-                new PlanContext(usable, warm(usable, nowNanos), load, registry, owners, calls, moveHistory, nowNanos);
+        PlanContext context = new PlanContext(usable, warm(usable, nowNanos), load, registry, owners, calls, nowNanos);
         MapDraft draft = new MapDraft(map, history.era());
         if (fences.isLow()) {
             draft.reserveFences();
@@ -266,19 +262,13 @@
             balanceDueNanos = nowNanos + BALANCE_PERIOD_MILLIS * 1_000_000L;
             load.decayTo(nowNanos);
             HOT_KEY.plan(draft, context);
-            OVERLOAD.plan(draft, context);
             BALANCE.plan(draft, context);
         }
         if (draft.hasMoves() || isSinceLastWrite(MERGE_DELAY_MILLIS, nowNanos)) {
-            CONSOLIDATE.plan(draft, context);
             MERGE.plan(draft, context);
         }
         boolean isDue = draft.hasMoves() || isSinceLastWrite(SETTLE_DELAY_MILLIS, nowNanos);
-        if (!draft.isChanged() || !isDue) {
-            return Optional.empty();
-        }
-        moveHistory.record(map.assignments(), draft.assignments(), nowNanos);
-        return Optional.of(draft.toMap());
+        return draft.isChanged() && isDue ? Optional.of(draft.toMap()) : Optional.empty();
     }
 
     private boolean isSinceLastWrite(long millis, long nowNanos) {
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/FleetReplay.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/FleetReplay.java
@@ -63,20 +63,11 @@
     private final ReplayResult result = new ReplayResult();
     private final GrantNetwork grants;
     private final boolean isSharded;
-    private final OwnershipChanges ownership = new OwnershipChanges();
-    private final int dataCentres;
     private KeyMap stored;
-    private KeyMap published;
     private long revision;
     private long nextRequestId;
 
     FleetReplay(long seed, int routerCount, double[] speeds, boolean isSharded) {
-        this(seed, routerCount, speeds, isSharded, 1);
-    }
-
-    /** Creates a replay whose servers are in {@code dataCentres} data centres in turn. */
-    FleetReplay(long seed, int routerCount, double[] speeds, boolean isSharded, int dataCentres) {
-        this.dataCentres = dataCentres;
         this.random = RandomSource.SPLIT_MIX_64.create(seed);
         this.isSharded = isSharded;
         this.grants = new GrantNetwork(time, random, serverByHost, result, this::handleByController);
@@ -136,8 +127,7 @@
     /** Registers a new server that is cold for {@code coldMillis}. */
     ReplayedServer join(String id, double speed, long coldMillis) {
         String host = "10.0.0." + (serverByHost.size() + 1);
-        String dataCentre = "dc-" + (1 + serverByHost.size() % dataCentres);
-        BackendServer registration = registration(id, host, dataCentre, coldMillis);
+        BackendServer registration = registration(id, host, coldMillis);
         ReplayedServer server = new ReplayedServer(time, registration, isSharded, speed);
         serverById.put(id, server);
         serverByHost.put(host, server);
@@ -145,8 +135,8 @@
         return server;
     }
 
-    private BackendServer registration(String id, String host, String dataCentre, long coldMillis) {
-        return new BackendServer(id, (long) time.nowMillis(), SERVICE, host, 80, dataCentre, 3, false, coldMillis);
+    private BackendServer registration(String id, String host, long coldMillis) {
+        return new BackendServer(id, (long) time.nowMillis(), SERVICE, host, 80, "dc-1", 3, false, coldMillis);
     }
 
     /**
@@ -154,16 +144,11 @@
      * registered {@code registrationDelayMillis} later.
      */
     void restart(String serverId, String newId, double downMillis, double registrationDelayMillis) {
-        restart(serverId, newId, downMillis, registrationDelayMillis, 0);
-    }
-
-    /** Restarts the server, which is cold for {@code coldMillis} then. */
-    void restart(String serverId, String newId, double downMillis, double registrationDelayMillis, long coldMillis) {
         ReplayedServer server = serverById.get(serverId);
         server.crash();
         time.after(downMillis, () -> {
-            BackendServer registration = registration(
-                    newId, server.registration().host(), server.registration().dataCentre(), coldMillis);
+            BackendServer registration =
+                    registration(newId, server.registration().host(), 0);
             server.restart(registration);
             serverById.put(newId, server);
             time.after(registrationDelayMillis, () -> {
@@ -323,20 +308,6 @@
                 0)));
     }
 
-    /** Evacuates the data centres; those evacuated before and not named are in use again. */
-    void evacuate(Set<String> evacuated) {
-        broadcast(new ServingEvent.EvacuationsChanged(evacuated));
-    }
-
-    OwnershipChanges ownership() {
-        return ownership;
-    }
-
-    /** Returns the map that the controller published last. */
-    KeyMap published() {
-        return published;
-    }
-
     /** Registers the server as ready again. */
     void register(String serverId) {
         broadcast(new ServingEvent.ServerChanged(serverById.get(serverId).registration()));
@@ -366,7 +337,6 @@
                                     ? new KeyEvent.MapAbsent(read.service())
                                     : new KeyEvent.MapRead(stored, revision)));
         } else if (action instanceof KeyAction.PublishMap publish) {
-            published = publish.map();
             time.after(NETWORK_DELAY_MILLIS, () -> broadcast(new ServingEvent.KeyMapChanged(publish.map())));
         } else if (action instanceof KeyAction.SendGrant grant) {
             grants.send(grant);
@@ -378,7 +348,6 @@
     private void completeWrite(KeyAction.WriteMap write) {
         result.recordMoves(stored, write.map());
         stored = write.map();
-        ownership.record(stored, time.nowMillis());
         revision++;
         handleByController(new KeyEvent.MapWritten(stored, revision));
     }
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/ReplayResult.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/ReplayResult.java
@@ -34,22 +34,6 @@
         rejections.merge(reason, 1, Integer::sum);
     }
 
-    /** Returns how many requests were rejected for {@code reason}. */
-    int rejections(CoreErrorCode reason) {
-        return rejections.getOrDefault(reason, 0);
-    }
-
-    /** Forgets the outcomes so far, but not violations of ownership. */
-    void restartCount() {
-        rejections.clear();
-        answeredByPath.clear();
-        lostByPath.clear();
-        withinObjectiveCount = 0;
-        lateCount = 0;
-        lostCount = 0;
-        movedRatio = 0;
-    }
-
     void recordLost(String path) {
         lostByPath.merge(path, 1, Integer::sum);
         lostCount++;
