--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ItemView.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ItemView.java
@@ -14,7 +14,7 @@
 import org.daisyscale.core.platform.CoordinationStore.Item;
 import org.daisyscale.core.platform.CoordinationStore.ItemChange;
 import org.daisyscale.core.platform.CoordinationStore.Listing;
-import org.daisyscale.core.platform.StoreRevision;
+import org.daisyscale.core.platform.EraRevision;
 
 /**
  * A view of the items under one prefix. An item is only ever replaced by a newer version of it, and is removed only by
@@ -249,7 +249,7 @@
 
     @Override
     public String describe() {
-        return "revision=%s items=%d".formatted(StoreRevision.unpack(revision), itemByKey.size());
+        return "revision=%s items=%d".formatted(EraRevision.unpack(revision), itemByKey.size());
     }
 
     private void recordMissing(String key, long removedRevision, boolean mayHaveLapsed) {
--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/RestoredItems.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/RestoredItems.java
@@ -3,7 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.daisyscale.core.platform.CoordinationStore.Item;
-import org.daisyscale.core.platform.StoreRevision;
+import org.daisyscale.core.platform.EraRevision;
 
 /**
  * The items that a restored store has in another version than before, and of which the listener of a view has not been
@@ -15,7 +15,7 @@
 
     /** Returns whether {@code before} is a revision of an older era than {@code after}. */
     static boolean isOfOlderEra(long before, long after) {
-        return StoreRevision.eraOf(before) < StoreRevision.eraOf(after);
+        return EraRevision.eraOf(before) < EraRevision.eraOf(after);
     }
 
     /**
@@ -37,7 +37,7 @@
     }
 
     private static long revisionInEra(long revision) {
-        return StoreRevision.unpack(revision).revision();
+        return EraRevision.unpack(revision).revision();
     }
 
     /** Adds an item that is missing, or the one that is there now. */
--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewVersion.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewVersion.java
@@ -5,7 +5,7 @@
  * they read and in which order. Immutable.
  *
  * @param revision the store's revision up to which the view lacks no change, with the store's era in its high bits (see
- *     {@link org.daisyscale.core.platform.StoreRevision})
+ *     {@link org.daisyscale.core.platform.EraRevision})
  * @param digest the digest of the items that the view holds
  */
 public record ViewVersion(long revision, long digest) {
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServiceKeyCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServiceKeyCoordinator.java
@@ -7,7 +7,7 @@
 import java.util.stream.Collectors;
 import org.daisyscale.core.keys.KeyAction;
 import org.daisyscale.core.keys.KeyLoad;
-import org.daisyscale.core.platform.StoreRevision;
+import org.daisyscale.core.platform.EraRevision;
 import org.daisyscale.core.serving.BackendServer;
 import org.daisyscale.core.serving.KeyAssignment;
 import org.daisyscale.core.serving.KeyAssignment.Owner;
@@ -130,7 +130,7 @@
         if (isOfOlderEra(foundRevision)) {
             return;
         }
-        history = history.inEra(StoreRevision.eraOf(foundRevision));
+        history = history.inEra(EraRevision.eraOf(foundRevision));
         if (foundRevision > revision) {
             fences.clear();
         }
@@ -142,7 +142,7 @@
 
     /** Returns whether the revision was assigned before the store was restored, so that it says nothing any more. */
     private boolean isOfOlderEra(long foundRevision) {
-        return StoreRevision.eraOf(foundRevision) < history.era();
+        return EraRevision.eraOf(foundRevision) < history.era();
     }
 
     /** Records that a write of this controller was accepted, which reserves its fences for this controller. */
--- a/daisyscale-core/src/main/java/org/daisyscale/core/platform/CoordinationStore.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/platform/CoordinationStore.java
@@ -10,7 +10,7 @@
 /**
  * The platform's durable key-value store for the routers' shared state. Items are written conditionally, watched by key
  * prefix and may be bound to leases. A single revision counter increases with each change. Revisions contain the era in
- * which the store assigned them, see {@link StoreRevision}. A lease ends with the era in which it was granted.
+ * which the store assigned them, see {@link EraRevision}. A lease ends with the era in which it was granted.
  *
  * <p>Implementations are thread-safe. Each call blocks until it is answered or times out, and throws {@link
  * org.daisyscale.core.error.DaisyscaleException} if the store can't be reached or rejects the call. An unanswered write
--- a/daisyscale-core/src/main/java/org/daisyscale/core/platform/StoreRevision.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/platform/EraRevision.java
@@ -12,7 +12,7 @@
  * @param era the era; 0 if the store names none
  * @param revision the revision that the store assigned within the era
  */
-public record StoreRevision(long era, long revision) {
+public record EraRevision(long era, long revision) {
     /** Bits of the store's revision: enough for 50 years at 10,000 changes a second. */
     private static final int REVISION_BITS = 44;
 
@@ -20,15 +20,15 @@
     private static final long MAX_ERA = Long.MAX_VALUE >>> REVISION_BITS;
 
     /** Throws {@link IllegalArgumentException} if a component does not fit into its bits. */
-    public StoreRevision {
+    public EraRevision {
         if (era < 0 || era > MAX_ERA || revision < 0 || revision > REVISION_MASK) {
             throw new IllegalArgumentException("era %d or revision %d is out of range".formatted(era, revision));
         }
     }
 
     /** Returns the era and the revision that {@link #packed} joined. */
-    public static StoreRevision unpack(long packed) {
-        return new StoreRevision(packed >>> REVISION_BITS, packed & REVISION_MASK);
+    public static EraRevision unpack(long packed) {
+        return new EraRevision(packed >>> REVISION_BITS, packed & REVISION_MASK);
     }
 
     /** Returns the era of a packed revision. */
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/FollowDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/FollowDuty.java
@@ -18,7 +18,7 @@
 import org.daisyscale.core.peer.PeerMessage;
 import org.daisyscale.core.platform.CoordinationStore.Changes;
 import org.daisyscale.core.platform.CoordinationStore.Listing;
-import org.daisyscale.core.platform.StoreRevision;
+import org.daisyscale.core.platform.EraRevision;
 import org.daisyscale.router.internal.log.EventLog;
 import org.daisyscale.router.internal.ring.Ring;
 
@@ -151,8 +151,8 @@
 
     /** Records whether the view is now that of a store which was restored since {@code revisionBefore}. */
     private void recordEra(long revisionBefore) {
-        StoreRevision before = StoreRevision.unpack(revisionBefore);
-        StoreRevision now = StoreRevision.unpack(contents.version().revision());
+        EraRevision before = EraRevision.unpack(revisionBefore);
+        EraRevision now = EraRevision.unpack(contents.version().revision());
         if (revisionBefore > 0 && now.era() > before.era()) {
             wasRestored = true;
             restoredNanos = clockNanos.getAsLong();
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorState.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorState.java
@@ -17,7 +17,7 @@
 import org.daisyscale.core.platform.CoordinationStore.Changes;
 import org.daisyscale.core.platform.CoordinationStore.Item;
 import org.daisyscale.core.platform.CoordinationStore.Listing;
-import org.daisyscale.core.platform.StoreRevision;
+import org.daisyscale.core.platform.EraRevision;
 import org.daisyscale.core.serving.ConfigurationSource;
 import org.daisyscale.core.serving.RoutingTable;
 import org.daisyscale.core.serving.RoutingTableChange;
@@ -237,7 +237,7 @@
                 EventLog.warn(
                         "configuration-restored-older",
                         "version=%d revision=%s: version %d stays in force until a newer one is written"
-                                .formatted(read.version(), StoreRevision.unpack(item.revision()), heldVersion()));
+                                .formatted(read.version(), EraRevision.unpack(item.revision()), heldVersion()));
                 return;
             }
             tableRevision = item.revision();
@@ -248,7 +248,7 @@
         }
 
         private boolean isRestored(Item item) {
-            return StoreRevision.eraOf(tableRevision) < StoreRevision.eraOf(item.revision());
+            return EraRevision.eraOf(tableRevision) < EraRevision.eraOf(item.revision());
         }
 
         @Override
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/StoreClient.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/StoreClient.java
@@ -19,7 +19,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.LongConsumer;
 import org.daisyscale.core.platform.CoordinationStore;
-import org.daisyscale.core.platform.StoreRevision;
+import org.daisyscale.core.platform.EraRevision;
 import org.daisyscale.core.platform.WriteOutcome;
 import org.daisyscale.router.internal.log.EventLog;
 import org.daisyscale.router.serving.AnswerMatch;
@@ -138,7 +138,7 @@
 
     @Override
     public Optional<Changes> watch(String prefix, long afterRevision, Duration wait, BooleanSupplier isOverdue) {
-        StoreRevision after = StoreRevision.unpack(afterRevision);
+        EraRevision after = EraRevision.unpack(afterRevision);
         if (after.era() != era.current()) {
             EventLog.info("store-watch-obsolete", "prefix=%s revision=%s era=%d".formatted(prefix, after, era()));
             return Optional.empty();
@@ -169,7 +169,7 @@
                     "key=%s expectedRevision=%s lease=%d era=%d"
                             .formatted(
                                     change.key(),
-                                    StoreRevision.unpack(change.expectedRevision()),
+                                    EraRevision.unpack(change.expectedRevision()),
                                     change.leaseId(),
                                     eraBefore));
             return new WriteResult(WriteOutcome.REFUSED, 0);
@@ -191,8 +191,8 @@
                     "key=%s revision=%s: the response belongs to an earlier call, since revision %s was known before"
                             .formatted(
                                     change.key(),
-                                    StoreRevision.unpack(result.revision()),
-                                    StoreRevision.unpack(knownBefore)));
+                                    EraRevision.unpack(result.revision()),
+                                    EraRevision.unpack(knownBefore)));
             return new WriteResult(WriteOutcome.UNKNOWN, 0);
         }
         recordRevision(result.revision());
@@ -202,7 +202,7 @@
     /** Returns whether the condition and the lease of {@code change} are of the era {@code current}. */
     private boolean isOfEra(Change change, long current) {
         boolean hasCondition = change.expectedRevision() != 0;
-        return (!hasCondition || StoreRevision.eraOf(change.expectedRevision()) == current)
+        return (!hasCondition || EraRevision.eraOf(change.expectedRevision()) == current)
                 && (change.leaseId() == 0 || eraOfLease(change.leaseId()) == current);
     }
 
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/StoreEra.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/StoreEra.java
@@ -9,7 +9,7 @@
 import org.daisyscale.core.platform.CoordinationStore.ItemChange;
 import org.daisyscale.core.platform.CoordinationStore.Listing;
 import org.daisyscale.core.platform.CoordinationStore.WriteResult;
-import org.daisyscale.core.platform.StoreRevision;
+import org.daisyscale.core.platform.EraRevision;
 import org.daisyscale.core.platform.WriteOutcome;
 import org.daisyscale.router.internal.log.EventLog;
 import org.daisyscale.router.serving.StoreException;
@@ -83,13 +83,13 @@
 
     /** Returns {@code change} with the expected revision as the store assigned it. */
     static Change removeFrom(Change change) {
-        long revision = StoreRevision.unpack(change.expectedRevision()).revision();
+        long revision = EraRevision.unpack(change.expectedRevision()).revision();
         return new Change(change.key(), revision, change.value(), change.leaseId());
     }
 
     private static long packed(long era, long revision) {
         try {
-            return new StoreRevision(era, revision).packed();
+            return new EraRevision(era, revision).packed();
         } catch (IllegalArgumentException e) {
             throw new StoreException(StoreException.Code.UNREADABLE, e.getMessage(), e);
         }
