--- a/review/harness-2/Backend.java
+++ b/review/harness-2/Backend.java
@@ -9,6 +9,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -29,12 +31,14 @@
     final String service;
     final String zone;
     final boolean isSharded;
-    final long born = System.currentTimeMillis();
-    final ServerSocket server;
+    private volatile long born = System.currentTimeMillis();
+    private volatile ServerSocket server;
     final List<Run> runs = new ArrayList<>();
     final List<Grant> grants = new ArrayList<>();
     final AtomicInteger working = new AtomicInteger();
     private final Store store;
+    private final String host;
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private final Thread reports;
     private volatile String state = "ready";
     /** The highest fence that this backend has seen on each key, in grants and releases. */
@@ -59,6 +63,7 @@
 
     Backend(Store store, String host, String id, String service, String zone, boolean isSharded) throws Exception {
         this.store = store;
+        this.host = host;
         this.id = id;
         this.service = service;
         this.zone = zone;
@@ -78,6 +83,9 @@
     }
 
     private synchronized void report() {
+        if (server.isClosed()) {
+            return;
+        }
         Map<String, Object> entry = new LinkedHashMap<>();
         entry.put("Service", service);
         entry.put("Address", address());
@@ -91,6 +99,26 @@
         store.put("servers/" + id, entry);
     }
 
+    /** Crashes: resets all connections and comes back at another port after {@code millis}, knowing nothing. */
+    void crash(long millis) throws Exception {
+        server.close();
+        for (Socket socket : sockets) {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+        sockets.clear();
+        synchronized (this) {
+            grants.clear();
+            Arrays.fill(seenFences, 0);
+        }
+        Http.start("restart", () -> {
+            Thread.sleep(millis);
+            server = Http.listen(host, this::serve);
+            born = System.currentTimeMillis();
+            report();
+        });
+    }
+
     boolean isDraining() {
         return state.equals("draining");
     }
@@ -103,6 +131,7 @@
     private void serve(Socket socket) throws Exception {
         InputStream in = new BufferedInputStream(socket.getInputStream());
         OutputStream out = socket.getOutputStream();
+        sockets.add(socket);
         for (Http.Message call = Http.read(in); call != null; call = Http.read(in)) {
             if (!answer(call, out)) {
                 return;
