--- a/review/harness-2/Case6.java
+++ b/review/harness-2/Case6.java
@@ -34,6 +34,8 @@
     private volatile long troubleEndNanos;
     private volatile long firstLateNanos;
     private int broken;
+    private int orders;
+    private int unanswered;
 
     /** A backend that reports each grant that it takes. */
     private final class Reporting extends Backend {
@@ -43,7 +45,12 @@
 
         @Override
         boolean answer(Http.Message call, OutputStream out) throws Exception {
-            if (call.target().equals("/-/grant") && isLate()) {
+            boolean isOrder = call.target().startsWith("/-/");
+            boolean isUnanswered = call.target().equals("/-/grant") && isLate();
+            if (isOrder && System.nanoTime() - troubleEndNanos < 0) {
+                countOrder(isUnanswered);
+            }
+            if (isUnanswered) {
                 takeLate(call);
                 // No answer: the connection stays open until the caller closes it.
                 return true;
@@ -122,6 +129,11 @@
         }
     }
 
+    private synchronized void countOrder(boolean isUnanswered) {
+        orders++;
+        unanswered += isUnanswered ? 1 : 0;
+    }
+
     private Router controller() {
         String entry = fleet.store.get("daisyscale/fleet/controller");
         return fleet.routers.stream()
@@ -195,6 +207,7 @@
             consumer.join(3_000);
         }
         boolean hasMoved = taken.stream().anyMatch(grant -> !grant.backend().equals("p") && grant.takenNanos() > drainNanos);
+        fleet.note("%d of %d orders to backends within %d ms got no answer", unanswered, orders, TROUBLE_MILLIS);
         fleet.note("grants that broke OWNER: %d; the keys of p were granted to others: %s", broken, hasMoved);
         return broken > 0 ? Fleet.BROKEN : hasMoved ? Fleet.HELD : Fleet.CANNOT_RUN;
     }
