--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/HoldLedger.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/HoldLedger.java
@@ -9,6 +9,7 @@
 import java.util.stream.Stream;
 import org.daisyscale.core.serving.KeyAssignment;
 import org.daisyscale.core.serving.KeyAssignment.Owner;
+import org.daisyscale.core.serving.KeyMap;
 
 /**
  * Records the grants of one service that servers may hold, so that a range changes hands only once no other server can
@@ -17,7 +18,8 @@
  * <p>Invariants: a grant in flight counts as held, and one that was sent counts as held until it has certainly expired.
  * A grant without a proven answer may take effect late, even after a release of its keys; it can't once the server has
  * provably accepted a higher fence on one of its keys, because the server then rejects it. Grants of earlier
- * controllers expire at most the longest hold after the start of this controller's term.
+ * controllers expire at most the longest hold after the start of this controller's term; which keys each of them
+ * contained is unknown, so that a proven grant of this controller excludes them only for its own keys.
  *
  * <p>Not thread-safe; confined to the core thread.
  */
@@ -27,6 +29,9 @@
     /** How long after the connection was reset a grant may still arrive, in milliseconds: links may delay bytes. */
     private static final long MAX_TRANSIT_MILLIS = 250;
 
+    /** Stands for the fences of earlier controllers, all of which are lower than those of this controller. */
+    private static final long FENCE_OF_OTHERS = 0;
+
     private final long holdMaxMillis;
     private final Map<Owner, List<Hold>> holdsByOwner = new HashMap<>();
     private final Map<Long, Hold> inFlightByCall = new HashMap<>();
@@ -51,6 +56,31 @@
         return arrivedNanos + (long) (holdMillis * CLOCK_DRIFT_FACTOR * 1e6);
     }
 
+    /**
+     * Records what the controllers that wrote {@code map} may have granted. An owner may have grants without a proven
+     * answer. A predecessor must not get a grant again, as the next owner may hold the range already, so that a grant
+     * that may take effect late has to expire.
+     */
+    void recordEarlierGrants(KeyMap map, long nowNanos) {
+        for (KeyAssignment assignment : map.assignments()) {
+            recordEarlier(assignment.owner(), assignment, termEndOfOthersNanos, Lateness.UNPROVEN, nowNanos);
+            long leftMillis = (termEndOfOthersNanos - nowNanos) / 1_000_000L;
+            long lateUntilNanos = nowNanos + Math.min(assignment.lateGrantMillis(), leftMillis) * 1_000_000L;
+            assignment.predecessors().stream()
+                    .filter(predecessor -> !predecessor.equals(assignment.owner()))
+                    .forEach(predecessor ->
+                            recordEarlier(predecessor, assignment, lateUntilNanos, Lateness.UNANSWERED, nowNanos));
+        }
+    }
+
+    private void recordEarlier(Owner owner, KeyAssignment range, long untilNanos, Lateness lateness, long nowNanos) {
+        if (untilNanos - nowNanos > 0) {
+            Hold hold = new Hold(range.firstKey(), range.lastKey(), FENCE_OF_OTHERS, holdMaxMillis);
+            hold.end(untilNanos, lateness);
+            holdsByOwner.computeIfAbsent(owner, unused -> new ArrayList<>()).add(hold);
+        }
+    }
+
     /** Records a grant of {@code range} to {@code owner} that is about to be sent. */
     void recordGrant(long callId, Owner owner, KeyAssignment range, long fence, long holdMillis, long nowNanos) {
         Hold hold = new Hold(range.firstKey(), range.lastKey(), fence, holdMillis);
@@ -66,11 +96,12 @@
         if (accepted != null) {
             goneOwners.remove(owner);
             accepted.end(expiryNanos(nowNanos, accepted.holdMillis), Lateness.EXCLUDED);
-            holdsByOwner.getOrDefault(owner, List.of()).stream()
-                    .filter(other -> other.fence < accepted.fence
-                            && other.firstKey <= accepted.lastKey
-                            && accepted.firstKey <= other.lastKey)
-                    .forEach(other -> other.lateness = Lateness.EXCLUDED);
+            List<Hold> holds = holdsByOwner.getOrDefault(owner, new ArrayList<>());
+            for (Hold older : List.copyOf(holds)) {
+                if (older.fence < accepted.fence && older.overlaps(accepted.firstKey, accepted.lastKey)) {
+                    holds.addAll(older.exclude(accepted));
+                }
+            }
         }
     }
 
@@ -121,6 +152,20 @@
                 .anyMatch(hold -> hold.isInFlight || (hold.lateness != Lateness.EXCLUDED && !hold.isOver(nowNanos)));
     }
 
+    /** Returns for how long a grant of any key of {@code range} to {@code owner} may take effect, in milliseconds. */
+    long lateMillis(Owner owner, KeyAssignment range, long nowNanos) {
+        return holds(owner, range)
+                .filter(hold -> hold.lateness != Lateness.EXCLUDED && !hold.isOver(nowNanos))
+                .mapToLong(hold -> (hold.expiresNanos - nowNanos) / 1_000_000L + 1)
+                .max()
+                .orElse(0);
+    }
+
+    /** Returns whether a grant of any key of {@code range} to {@code owner} is in flight. */
+    boolean isInFlight(Owner owner, KeyAssignment range) {
+        return holds(owner, range).anyMatch(hold -> hold.isInFlight);
+    }
+
     /**
      * Returns whether {@code owner} answers, but without a proof that no grant of a key of {@code range} may still take
      * effect. A grant under a higher fence with a proven answer is that proof.
@@ -134,7 +179,7 @@
 
     private Stream<Hold> holds(Owner owner, KeyAssignment range) {
         return holdsByOwner.getOrDefault(owner, List.of()).stream()
-                .filter(hold -> hold.firstKey <= range.lastKey() && range.firstKey() <= hold.lastKey);
+                .filter(hold -> hold.overlaps(range.firstKey(), range.lastKey()));
     }
 
     /** Whether a grant that is not in flight may take effect late. */
@@ -170,6 +215,34 @@
             expiresNanos = newExpiresNanos;
         }
 
+        private boolean overlaps(int first, int last) {
+            return firstKey <= last && first <= lastKey;
+        }
+
+        /**
+         * Records that the server rejects this grant from now on, since it has accepted {@code newer}. Returns what
+         * remains of grants of earlier controllers, which the server rejects only if they contain a key of it.
+         */
+        private List<Hold> exclude(Hold newer) {
+            List<Hold> rest = new ArrayList<>();
+            if (fence == FENCE_OF_OTHERS && lateness != Lateness.EXCLUDED) {
+                if (firstKey < newer.firstKey) {
+                    rest.add(withKeys(firstKey, newer.firstKey - 1));
+                }
+                if (newer.lastKey < lastKey) {
+                    rest.add(withKeys(newer.lastKey + 1, lastKey));
+                }
+            }
+            lateness = Lateness.EXCLUDED;
+            return rest;
+        }
+
+        private Hold withKeys(int first, int last) {
+            Hold part = new Hold(first, last, fence, holdMillis);
+            part.end(expiresNanos, lateness);
+            return part;
+        }
+
         private boolean isOver(long nowNanos) {
             return !isInFlight && nowNanos - expiresNanos >= 0;
         }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LeasedKeyController.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LeasedKeyController.java
@@ -55,7 +55,7 @@
         for (KeyEvent event : events) {
             needsStep |= handleEraEvent(event)
                     || handleLeaseEvent(event, actions, nowNanos)
-                    || handleMapEvent(event)
+                    || handleMapEvent(event, nowNanos)
                     || handleOtherEvent(event, nowNanos);
         }
         if (needsStep) {
@@ -124,9 +124,9 @@
                 "keys-controlled", "services=%s era=%d".formatted(coordinatorByService.keySet(), history.era())));
     }
 
-    private boolean handleMapEvent(KeyEvent event) {
+    private boolean handleMapEvent(KeyEvent event, long nowNanos) {
         if (event instanceof KeyEvent.MapRead read) {
-            coordinator(read.map().service()).onMapRead(read.map(), read.revision());
+            coordinator(read.map().service()).onMapRead(read.map(), read.revision(), nowNanos);
         } else if (event instanceof KeyEvent.MapWritten written) {
             coordinator(written.map().service()).onMapWritten(written.map(), written.revision());
         } else if (event instanceof KeyEvent.MapAbsent absent) {
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/MapDraft.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/MapDraft.java
@@ -14,13 +14,16 @@
     private final KeyMap base;
     private final List<KeyAssignment> assignments;
     private final long era;
+    private final MoveGuard guard;
     private long nextFence;
     private boolean isChanged;
-    private boolean hasMoves;
+    private boolean isUrgent;
+    private boolean hasPostponedMoves;
 
     /** Creates a draft of the map that follows {@code base} in {@code era} of the store. */
-    MapDraft(KeyMap base, long era) {
+    MapDraft(KeyMap base, long era, MoveGuard guard) {
         this.base = base;
+        this.guard = guard;
         this.assignments = new ArrayList<>(base.assignments());
         this.era = era;
         this.nextFence = Math.max(base.nextFence(), EraNumbers.first(era));
@@ -40,28 +43,56 @@
         return isChanged;
     }
 
-    /** Returns whether more than completed moves changed: a moved or merged range, a new fence, or reserved fences. */
-    boolean hasMoves() {
-        return hasMoves;
+    /** Returns whether the change can't wait: a moved or merged range, a new fence, or reserved fences. */
+    boolean isUrgent() {
+        return isUrgent;
     }
 
-    /** Marks the move of {@code assignment} as completed. */
+    /** Returns whether a move was left out because the owner of its range has yet to answer a grant. */
+    boolean hasPostponedMoves() {
+        return hasPostponedMoves;
+    }
+
+    /**
+     * Marks the move of {@code assignment} as completed. That is urgent if another controller would wait for grants to
+     * its predecessors.
+     */
     void settle(KeyAssignment assignment) {
         replace(assignment, List.of(assignment.settled()));
+        isUrgent |= assignment.lateGrantMillis() > 0;
     }
 
-    /** Moves the keys from {@code firstKey} to {@code lastKey} of {@code assignment} to {@code owner}. */
+    /**
+     * Moves the keys from {@code firstKey} to {@code lastKey} of {@code assignment} to {@code owner}, or postpones the
+     * move until the present owner has answered.
+     */
     void move(KeyAssignment assignment, int firstKey, int lastKey, Owner owner) {
+        if (!guard.mayMove(assignment)) {
+            hasPostponedMoves = true;
+            return;
+        }
+        renew(assignment, firstKey, lastKey, owner, guard.lateGrantMillis(assignment));
+    }
+
+    /** Gives {@code assignment} a higher fence. */
+    void raiseFence(KeyAssignment assignment) {
+        renew(assignment, assignment.firstKey(), assignment.lastKey(), assignment.owner(), 0);
+    }
+
+    private void renew(KeyAssignment assignment, int firstKey, int lastKey, Owner owner, long lateGrantMillis) {
         List<KeyAssignment> pieces = new ArrayList<>();
         if (assignment.firstKey() < firstKey) {
             pieces.add(assignment.withKeys(assignment.firstKey(), firstKey - 1));
         }
-        pieces.add(assignment.withKeys(firstKey, lastKey).movedTo(owner, nextFence++));
+        pieces.add(assignment
+                .withKeys(firstKey, lastKey)
+                .movedTo(owner, nextFence++)
+                .withLateGrants(lateGrantMillis));
         if (lastKey < assignment.lastKey()) {
             pieces.add(assignment.withKeys(lastKey + 1, assignment.lastKey()));
         }
         replace(assignment, pieces);
-        hasMoves = true;
+        isUrgent = true;
     }
 
     /** Merges two adjacent ranges of the same owner; the merged range needs a new grant. */
@@ -71,13 +102,13 @@
         assignments.set(
                 index, first.withKeys(first.firstKey(), second.lastKey()).movedTo(first.owner(), nextFence++));
         isChanged = true;
-        hasMoves = true;
+        isUrgent = true;
     }
 
     /** Marks the map as changed, so that it is written even if only to reserve fences. */
     void reserveFences() {
         isChanged = true;
-        hasMoves = true;
+        isUrgent = true;
     }
 
     private void replace(KeyAssignment assignment, List<KeyAssignment> pieces) {
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/RangeCallCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/RangeCallCoordinator.java
@@ -13,8 +13,9 @@
 /**
  * Coordinates the grant and release calls for the ranges of one service: which are pending, answered or due.
  *
- * <p>Invariants: a moving range is granted only when each predecessor has certainly lost it, see {@link HoldLedger}. A
- * grant carries a new fence unless the call can only reach the process that accepted this fence before.
+ * <p>Invariants: a moving range is granted only when each predecessor has certainly lost it, see {@link HoldLedger}.
+ * Once a move is planned, predecessors get no further grant of its keys. A grant carries a new fence unless the call
+ * can only reach the process that accepted this fence before.
  *
  * <p>Not thread-safe; confined to the core thread.
  */
@@ -70,6 +71,13 @@
         return holds.mayOthersHold(nowNanos);
     }
 
+    /** Asks the owner for a proof that no earlier grant of {@code range}, whole or in part, may take effect late. */
+    void requestProof(KeyAssignment range) {
+        stateByRange.entrySet().stream()
+                .filter(entry -> covers(entry.getKey(), range))
+                .forEach(entry -> entry.getValue().isProofWanted = true);
+    }
+
     /** Keeps the state of ranges that {@code map} keeps, whole or in part; discards that of all others. */
     void adopt(KeyMap map) {
         Map<Long, List<Map.Entry<KeyAssignment, RangeState>>> beforeByFence =
@@ -117,10 +125,22 @@
         for (Owner predecessor : assignment.predecessors()) {
             isReleased &= state.isGranted || ensureReleased(assignment, predecessor, state, terms, actions, nowNanos);
         }
-        boolean hasFence = state.fence != NO_FENCE || !fences.isEmpty();
-        if (isReleased && hasFence && nowNanos - state.grantDueNanos >= 0 && registry.mayOwn(assignment.owner())) {
-            grant(assignment, terms, state, actions, nowNanos);
+        if (!isReleased) {
+            return;
         }
+        if (state.isProofWanted && !fences.isEmpty()) {
+            state.isProofWanted = false;
+            state.fence = NO_FENCE;
+            grant(assignment, PendingCall.Kind.PROOF, terms, state, actions, nowNanos);
+            state.fence = NO_FENCE;
+        } else if (isGrantDue(assignment, state, nowNanos)) {
+            grant(assignment, PendingCall.Kind.GRANT, terms, state, actions, nowNanos);
+        }
+    }
+
+    private boolean isGrantDue(KeyAssignment assignment, RangeState state, long nowNanos) {
+        boolean hasFence = state.fence != NO_FENCE || !fences.isEmpty();
+        return hasFence && nowNanos - state.grantDueNanos >= 0 && registry.mayOwn(assignment.owner());
     }
 
     /**
@@ -140,9 +160,6 @@
             return true;
         }
         if (holds.mayTakeEffectLater(predecessor, assignment, nowNanos)) {
-            if (holds.lacksOnlyProof(predecessor, assignment, nowNanos) && !owners.isLost(predecessor, nowNanos)) {
-                requestProof(assignment, predecessor, state, terms, actions, nowNanos);
-            }
             return false;
         }
         if (state.handoverByPredecessor.containsKey(predecessor)) {
@@ -152,7 +169,7 @@
         if (nowNanos - dueNanos >= 0) {
             state.releaseDueNanos.put(predecessor, nowNanos + RETRY_MILLIS * 1_000_000L * state.nextReleaseAttempt());
             long callId = callIds.next();
-            callById.put(callId, new PendingCall(assignment, predecessor, false, term));
+            callById.put(callId, new PendingCall(assignment, predecessor, PendingCall.Kind.RELEASE, term));
             actions.add(new KeyAction.SendRelease(
                     callId,
                     predecessor,
@@ -165,47 +182,19 @@
         return false;
     }
 
-    /**
-     * Grants the range to its predecessor once more under a new fence: a proven answer excludes that an earlier grant
-     * takes effect after the release.
-     */
-    private void requestProof(
+    private void grant(
             KeyAssignment assignment,
-            Owner predecessor,
-            RangeState state,
+            PendingCall.Kind kind,
             CallTerms terms,
+            RangeState state,
             List<KeyAction> actions,
             long nowNanos) {
-        if (fences.isEmpty() || nowNanos - state.releaseDueNanos.getOrDefault(predecessor, nowNanos) < 0) {
-            return;
-        }
-        state.releaseDueNanos.put(predecessor, nowNanos + RETRY_MILLIS * 1_000_000L);
-        long callId = callIds.next();
-        long fence = fences.take();
-        callById.put(callId, new PendingCall(assignment, predecessor, false, term));
-        holds.recordGrant(callId, predecessor, assignment, fence, terms.holdMillis(), nowNanos);
-        actions.add(new KeyAction.SendGrant(
-                callId,
-                predecessor,
-                assignment.firstKey(),
-                assignment.lastKey(),
-                fence,
-                false,
-                true,
-                terms.holdMillis(),
-                "",
-                registry.healthPath(service),
-                terms.sendBeforeNanos()));
-    }
-
-    private void grant(
-            KeyAssignment assignment, CallTerms terms, RangeState state, List<KeyAction> actions, long nowNanos) {
         long holdMillis = terms.holdMillis();
         boolean isRenewal = state.fence != NO_FENCE;
         state.fence = isRenewal ? state.fence : fences.take();
         state.grantCallId = callIds.next();
         state.grantDueNanos = nowNanos + renewAfterMillis(holdMillis) * 1_000_000L;
-        callById.put(state.grantCallId, new PendingCall(assignment, assignment.owner(), true, term));
+        callById.put(state.grantCallId, new PendingCall(assignment, assignment.owner(), kind, term));
         holds.recordGrant(state.grantCallId, assignment.owner(), assignment, state.fence, holdMillis, nowNanos);
         String handover = state.isGranted
                 ? ""
@@ -220,7 +209,7 @@
                 assignment.lastKey(),
                 state.fence,
                 isRenewal,
-                false,
+                kind == PendingCall.Kind.PROOF,
                 holdMillis,
                 handover,
                 registry.healthPath(service),
@@ -238,9 +227,9 @@
     }
 
     /**
-     * Records that the server accepted the grant; returns whether calls may be due at once, since it is the first one
-     * of its range or the proof for a release. An answer without a proof decides only where requests are sent, which a
-     * server without the keys refuses, and what the server may hold.
+     * Records that the server accepted the grant; returns whether calls or moves may be due at once, since it is the
+     * first one of its range or the proof for a move. An answer without a proof decides only where requests are sent,
+     * which a server without the keys refuses, and what the server may hold.
      */
     boolean onGrantAccepted(long callId, boolean isProven, long nowNanos) {
         PendingCall call = callById.remove(callId);
@@ -254,13 +243,9 @@
             holds.recordUnproven(callId, call.owner(), nowNanos);
         }
         Optional<RangeState> state = endCall(call, callId);
-        if (!call.isGrant()) {
-            state.ifPresent(found -> found.releaseDueNanos.remove(call.owner()));
-            return true;
-        }
         boolean isFirst = state.filter(found -> !found.isGranted).isPresent();
         state.ifPresent(found -> found.isGranted = true);
-        return isFirst;
+        return isFirst || call.kind() == PendingCall.Kind.PROOF;
     }
 
     /** Records that the server rejected the grant because it knows a higher fence. */
@@ -358,9 +343,6 @@
         return state;
     }
 
-    /** A call without an answer yet; {@code isGrant} if it gives the range to its owner. Immutable. */
-    private record PendingCall(KeyAssignment assignment, Owner owner, boolean isGrant, int term) {}
-
     /** The state of the calls for one range. */
     private static final class RangeState {
         private final Map<Owner, String> handoverByPredecessor = new HashMap<>();
@@ -370,6 +352,7 @@
         private long grantDueNanos = Long.MIN_VALUE / 2;
         private boolean isGranted;
         private boolean isFenceTooLow;
+        private boolean isProofWanted;
         private int releaseAttempts;
 
         private int nextReleaseAttempt() {
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServiceKeyCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServiceKeyCoordinator.java
@@ -39,6 +39,12 @@
      */
     private static final long MERGE_DELAY_MILLIS = 500;
 
+    /**
+     * How long a write waits for the owners that have yet to answer before their ranges move, in milliseconds, so that
+     * moves that are planned together are written together.
+     */
+    private static final long POSTPONED_MOVES_MILLIS = 100;
+
     private static final PlanStep SETTLE = new SettleStep();
     private static final PlanStep LOST_OWNER = new LostOwnerStep();
     private static final PlanStep HOT_KEY = new HotKeyStep();
@@ -48,6 +54,7 @@
     private final String service;
     private final ServerRegistry registry;
     private final OwnerTracker owners;
+    private final HoldLedger holds;
     private final RangeCallCoordinator calls;
     private final FenceBlock fences = new FenceBlock();
     private final LoadTracker load = new LoadTracker();
@@ -66,6 +73,11 @@
 
     private boolean mayLackMoves;
     private boolean isWaitReported;
+    /** Whether the grants of earlier controllers in the map that was read in this term are recorded. */
+    private boolean areEarlierGrantsRecorded;
+
+    private boolean hasPostponedMoves;
+    private long postponedSinceNanos;
     private long balanceDueNanos;
     private long lastWriteNanos;
 
@@ -74,6 +86,7 @@
         this.service = service;
         this.registry = registry;
         this.owners = owners;
+        this.holds = holds;
         this.calls = new RangeCallCoordinator(service, owners, holds, registry, fences, callIds);
     }
 
@@ -109,6 +122,8 @@
         isMapComplete = false;
         mayLackMoves = false;
         isWaitReported = false;
+        areEarlierGrantsRecorded = false;
+        hasPostponedMoves = false;
         calls.startTerm(nowNanos);
         fences.clear();
         pendingMap = null;
@@ -126,7 +141,7 @@
     }
 
     /** Records the map that was read; the fences that a newer map reserves belong to another controller. */
-    void onMapRead(KeyMap found, long foundRevision) {
+    void onMapRead(KeyMap found, long foundRevision, long nowNanos) {
         if (isOfOlderEra(foundRevision)) {
             return;
         }
@@ -137,7 +152,12 @@
         boolean wasWrittenBefore = EraNumbers.eraOf(found.version()) < history.era();
         boolean isOwnNewer = wasWrittenBefore && map != null && map.version() >= found.version();
         mayLackMoves = wasWrittenBefore && !(isMapKept && isOwnNewer);
-        adopt(isOwnNewer ? map : found, foundRevision);
+        KeyMap adopted = isOwnNewer ? map : found;
+        if (!areEarlierGrantsRecorded || foundRevision > revision) {
+            areEarlierGrantsRecorded = true;
+            holds.recordEarlierGrants(adopted, nowNanos);
+        }
+        adopt(adopted, foundRevision);
     }
 
     /** Returns whether the revision was assigned before the store was restored, so that it says nothing any more. */
@@ -204,7 +224,7 @@
         }
         if (map != null) {
             rangesKeptByPendingWrite().forEach(assignment -> calls.makeDueCalls(assignment, terms, actions, nowNanos));
-            publish(actions);
+            publish(actions, nowNanos);
         }
     }
 
@@ -229,7 +249,7 @@
     }
 
     /** Publishes the ranges whose owners accepted their grants; the next write stores them. */
-    private void publish(List<KeyAction> actions) {
+    private void publish(List<KeyAction> actions, long nowNanos) {
         boolean isNewVersion = publishedMap == null || publishedMap.version() != map.version();
         List<KeyAssignment> granted = map.assignments().stream()
                 .filter(assignment -> !assignment.isSettled() && calls.isGranted(assignment))
@@ -237,7 +257,7 @@
         if (!isNewVersion && granted.isEmpty()) {
             return;
         }
-        MapDraft draft = new MapDraft(map, history.era());
+        MapDraft draft = new MapDraft(map, history.era(), moveGuard(nowNanos));
         granted.forEach(draft::settle);
         KeyMap next = draft.toProgress(isNewVersion ? 0 : publishedMap.progress() + 1);
         if (isNewVersion || !next.assignments().equals(publishedMap.assignments())) {
@@ -251,8 +271,15 @@
         if (map == null) {
             return usable.isEmpty() ? Optional.empty() : Optional.of(initialMap(usable));
         }
+        MapDraft draft = draft(usable, nowNanos);
+        boolean isDue = draft.isUrgent() || isSinceLastWrite(SETTLE_DELAY_MILLIS, nowNanos);
+        boolean isWaiting = isWaitingForOwners(draft, nowNanos) && !fences.isLow();
+        return draft.isChanged() && isDue && !isWaiting ? Optional.of(draft.toMap()) : Optional.empty();
+    }
+
+    private MapDraft draft(List<BackendServer> usable, long nowNanos) {
         PlanContext context = new PlanContext(usable, warm(usable, nowNanos), load, registry, owners, calls, nowNanos);
-        MapDraft draft = new MapDraft(map, history.era());
+        MapDraft draft = new MapDraft(map, history.era(), moveGuard(nowNanos));
         if (fences.isLow()) {
             draft.reserveFences();
         }
@@ -264,11 +291,28 @@
             HOT_KEY.plan(draft, context);
             BALANCE.plan(draft, context);
         }
-        if (draft.hasMoves() || isSinceLastWrite(MERGE_DELAY_MILLIS, nowNanos)) {
+        if (draft.isUrgent() || isSinceLastWrite(MERGE_DELAY_MILLIS, nowNanos)) {
             MERGE.plan(draft, context);
         }
-        boolean isDue = draft.hasMoves() || isSinceLastWrite(SETTLE_DELAY_MILLIS, nowNanos);
-        return draft.isChanged() && isDue ? Optional.of(draft.toMap()) : Optional.empty();
+        return draft;
+    }
+
+    private MoveGuard moveGuard(long nowNanos) {
+        return new OwnerMoveGuard(registry, owners, holds, calls::requestProof, nowNanos);
+    }
+
+    /** Returns whether the draft should be planned again shortly, when more owners have answered. */
+    private boolean isWaitingForOwners(MapDraft draft, long nowNanos) {
+        if (!draft.hasPostponedMoves()) {
+            hasPostponedMoves = false;
+            return false;
+        }
+        if (!hasPostponedMoves) {
+            hasPostponedMoves = true;
+            postponedSinceNanos = nowNanos;
+        }
+        balanceDueNanos = nowNanos;
+        return nowNanos - postponedSinceNanos < POSTPONED_MOVES_MILLIS * 1_000_000L;
     }
 
     private boolean isSinceLastWrite(long millis, long nowNanos) {
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/SettleStep.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/SettleStep.java
@@ -9,7 +9,7 @@
     public void plan(MapDraft draft, PlanContext context) {
         for (KeyAssignment assignment : draft.assignments()) {
             if (context.calls().isFenceTooLow(assignment)) {
-                draft.move(assignment, assignment.firstKey(), assignment.lastKey(), assignment.owner());
+                draft.raiseFence(assignment);
             } else if (!assignment.isSettled() && context.calls().isGranted(assignment)) {
                 draft.settle(assignment);
             }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/KeyAssignment.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/KeyAssignment.java
@@ -13,15 +13,31 @@
  * @param fence the fencing token that distinguishes this assignment from others of the same keys; the owner's grants
  *     have higher fences
  * @param isSettled whether the owner holds its grant, so that requests may be sent to it
- * @param predecessors the servers that may still hold a range that is moving
+ * @param predecessors the servers that may still hold a range that is moving; they get no grant of its keys any more
+ * @param lateGrantMillis for how long after the map was stored a grant to a predecessor may still take effect, in
+ *     milliseconds; 0 if all grants to the predecessors have certainly taken effect or never will
  */
 public record KeyAssignment(
-        int firstKey, int lastKey, Owner owner, long fence, boolean isSettled, List<Owner> predecessors) {
+        int firstKey,
+        int lastKey,
+        Owner owner,
+        long fence,
+        boolean isSettled,
+        List<Owner> predecessors,
+        long lateGrantMillis) {
+    /** The value of {@code lateGrantMillis} that stands for the longest hold that servers accept. */
+    public static final long LONGEST_HOLD = Long.MAX_VALUE;
 
     public KeyAssignment {
         predecessors = List.copyOf(predecessors);
     }
 
+    /** Creates an assignment whose predecessors have no grant that may still take effect. */
+    public KeyAssignment(
+            int firstKey, int lastKey, Owner owner, long fence, boolean isSettled, List<Owner> predecessors) {
+        this(firstKey, lastKey, owner, fence, isSettled, predecessors, 0);
+    }
+
     /** Returns the unsettled assignment of a range that no server has held to its first owner. */
     public static KeyAssignment first(int firstKey, int lastKey, Owner owner, long fence) {
         return new KeyAssignment(firstKey, lastKey, owner, fence, false, List.of());
@@ -34,7 +50,7 @@
 
     /** Returns an assignment of other keys with the same owner, fence and state. */
     public KeyAssignment withKeys(int newFirstKey, int newLastKey) {
-        return new KeyAssignment(newFirstKey, newLastKey, owner, fence, isSettled, predecessors);
+        return new KeyAssignment(newFirstKey, newLastKey, owner, fence, isSettled, predecessors, lateGrantMillis);
     }
 
     /** Returns the unsettled assignment of the same keys to {@code newOwner}; possible holders become predecessors. */
@@ -43,7 +59,13 @@
         if (!mayHold.contains(owner)) {
             mayHold.add(owner);
         }
-        return new KeyAssignment(firstKey, lastKey, newOwner, newFence, false, mayHold);
+        return new KeyAssignment(firstKey, lastKey, newOwner, newFence, false, mayHold, lateGrantMillis);
+    }
+
+    /** Returns an assignment with a grant to a predecessor that may take effect for another {@code millis}. */
+    public KeyAssignment withLateGrants(long millis) {
+        return new KeyAssignment(
+                firstKey, lastKey, owner, fence, isSettled, predecessors, Math.max(lateGrantMillis, millis));
     }
 
     /** Returns the settled assignment, which applies once the owner holds its grant. */
--- a/daisyscale-core/src/test/java/org/daisyscale/core/keys/UnprovenGrantTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/keys/UnprovenGrantTest.java
@@ -5,17 +5,25 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.daisyscale.core.serving.KeyMap;
+import org.daisyscale.core.serving.ServingEvent;
 import org.junit.jupiter.api.Test;
 
 /** Accepted grants whose answers may be copies of earlier ones. */
 class UnprovenGrantTest extends KeyControllerScenario {
 
-    /** Has {@code k1} answer its renewal with what may be a copy, and stores the map that moves its keys. */
-    private List<KeyAction> moveAfterAnUnprovenRenewal() {
+    /** Has {@code k1} answer its renewal with what may be a copy, and drains it. */
+    private List<KeyAction> drainAfterAnUnprovenRenewal() {
         leadWithTwoOwners();
         grants(advance(1_100)).forEach(renewal -> handle(new KeyEvent.GrantAccepted(renewal.callId(), false)));
-        KeyMap moved = drainFirstOwner();
-        return handle(new KeyEvent.MapWritten(moved, 32));
+        List<KeyAction> actions = new ArrayList<>(changeFleet(new ServingEvent.ServerChanged(server("k1", 1, true))));
+        actions.addAll(advance(50));
+        return actions;
+    }
+
+    private static KeyMap writtenMap(List<KeyAction> actions) {
+        List<KeyAction.WriteMap> writes = actionsOf(KeyAction.WriteMap.class, actions);
+        assertThat(writes).hasSize(1);
+        return writes.get(0).map();
     }
 
     private static List<KeyAction.SendGrant> proofs(List<KeyAction> actions) {
@@ -26,25 +34,33 @@
         return actionsOf(KeyAction.SendRelease.class, actions);
     }
 
+    /**
+     * Guards against a proof that is asked for once the move is stored: the next controller would release the range and
+     * know nothing of that grant (issue 57).
+     */
     @Test
-    void shouldAskForAProofBeforeItReleasesARangeWhoseRenewalMayHaveACopiedAnswer() {
-        List<KeyAction> actions = moveAfterAnUnprovenRenewal();
+    void shouldAskForAProofBeforeItStoresTheMoveOfARangeWhoseRenewalMayHaveACopiedAnswer() {
+        List<KeyAction> actions = drainAfterAnUnprovenRenewal();
 
         assertThat(releases(actions)).isEmpty();
+        assertThat(actionsOf(KeyAction.WriteMap.class, actions)).isEmpty();
         assertThat(proofs(actions))
                 .singleElement()
                 .matches(proof -> proof.owner().equals(owner("k1")) && !proof.isRenewal());
     }
 
     @Test
-    void shouldReleaseTheRangeAtOnceAndGrantItUnderAHigherFenceAfterTheProof() {
-        KeyAction.SendGrant proof = proofs(moveAfterAnUnprovenRenewal()).get(0);
+    void shouldMoveTheRangeAtOnceAndGrantItUnderAHigherFenceAfterTheProof() {
+        KeyAction.SendGrant proof = proofs(drainAfterAnUnprovenRenewal()).get(0);
 
-        List<KeyAction> afterProof = handle(new KeyEvent.GrantAccepted(proof.callId(), true));
+        KeyMap moved = writtenMap(handle(new KeyEvent.GrantAccepted(proof.callId(), true)));
 
-        assertThat(releases(afterProof)).hasSize(1);
+        assertThat(moved.assignments().get(0).lateGrantMillis()).isZero();
+        List<KeyAction> afterWrite = handle(new KeyEvent.MapWritten(moved, 32));
+        assertThat(releases(afterWrite)).hasSize(1);
+        assertThat(proofs(afterWrite)).isEmpty();
         List<KeyAction> afterRelease =
-                handle(new KeyEvent.Released(releases(afterProof).get(0).callId(), ""));
+                handle(new KeyEvent.Released(releases(afterWrite).get(0).callId(), ""));
         assertThat(grants(afterRelease))
                 .filteredOn(grant -> grant.firstKey() < 32_768)
                 .singleElement()
@@ -53,8 +69,11 @@
 
     @Test
     void shouldSendNoReleaseUntilTheHoldsExpireWhenTheProofIsNotAnswered() {
-        KeyAction.SendGrant proof = proofs(moveAfterAnUnprovenRenewal()).get(0);
+        KeyAction.SendGrant proof = proofs(drainAfterAnUnprovenRenewal()).get(0);
         handle(new KeyEvent.CallUnanswered(proof.callId(), true));
+        KeyMap moved = writtenMap(advance(50));
+        assertThat(moved.assignments().get(0).lateGrantMillis()).isGreaterThan(proof.holdMillis());
+        handle(new KeyEvent.MapWritten(moved, 32));
 
         List<KeyAction> meanwhile = advance(proof.holdMillis());
 
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/FleetReplay.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/FleetReplay.java
@@ -280,6 +280,7 @@
      * gets the lease at the next renewal.
      */
     void replaceController() {
+        grants.dropOutstandingAnswers();
         controller = KeyController.create(new KeySettings(10_000));
         sendTable();
         serverById.values().stream()
@@ -328,7 +329,8 @@
 
     private void run(KeyAction action) {
         if (action instanceof KeyAction.WriteMap write) {
-            time.after(STORE_DELAY_MILLIS, () -> completeWrite(write));
+            KeyController writer = controller;
+            time.after(STORE_DELAY_MILLIS, () -> completeWrite(write, writer));
         } else if (action instanceof KeyAction.ReadMap read) {
             time.after(
                     STORE_DELAY_MILLIS,
@@ -345,11 +347,23 @@
         }
     }
 
-    private void completeWrite(KeyAction.WriteMap write) {
-        result.recordMoves(stored, write.map());
-        stored = write.map();
-        revision++;
-        handleByController(new KeyEvent.MapWritten(stored, revision));
+    /** Stores the map if the stored one is still at the expected revision; only its writer learns the outcome. */
+    private void completeWrite(KeyAction.WriteMap write, KeyController writer) {
+        boolean isAccepted = write.expectedRevision() == revision;
+        if (isAccepted) {
+            result.recordMoves(stored, write.map());
+            stored = write.map();
+            revision++;
+        }
+        if (writer != controller) {
+            return;
+        }
+        if (isAccepted) {
+            handleByController(new KeyEvent.MapWritten(stored, revision));
+        } else {
+            handleByController(new KeyEvent.MapWriteFailed(SERVICE));
+            handleByController(new KeyEvent.MapRead(stored, revision));
+        }
     }
 
     private record Caller(String path, double startMillis, int key, double workMillis, boolean mayRetry) {
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/GrantNetwork.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/GrantNetwork.java
@@ -28,6 +28,7 @@
     private final Set<String> partitionedServers = new HashSet<>();
     private double maxGrantDelayMillis;
     private boolean hasCopiedAnswers;
+    private int controllerTerm;
 
     GrantNetwork(
             Timeline time,
@@ -61,16 +62,31 @@
         hasCopiedAnswers = true;
     }
 
+    /** Drops the answers that are still to come, since the controller that made the calls is replaced. */
+    void dropOutstandingAnswers() {
+        controllerTerm++;
+    }
+
+    private Consumer<KeyEvent> answersForPresentController() {
+        int term = controllerTerm;
+        return answer -> {
+            if (term == controllerTerm) {
+                answers.accept(answer);
+            }
+        };
+    }
+
     void send(KeyAction.SendGrant grant) {
+        Consumer<KeyEvent> caller = answersForPresentController();
         boolean isDelayed = maxGrantDelayMillis > 0 && random.nextInt(DELAYED_GRANTS_ONE_IN) == 0;
         double delayMillis = isDelayed ? random.nextDouble() * maxGrantDelayMillis : 0;
         if (isDelayed && hasCopiedAnswers && !grant.needsProof()) {
-            time.after(NETWORK_DELAY_MILLIS, () -> answers.accept(new KeyEvent.GrantAccepted(grant.callId(), false)));
+            time.after(NETWORK_DELAY_MILLIS, () -> caller.accept(new KeyEvent.GrantAccepted(grant.callId(), false)));
             time.after(delayMillis, () -> takeEffectLate(grant, (long) delayMillis));
         } else if (delayMillis < GRANT_TIMEOUT_MILLIS) {
-            time.after(NETWORK_DELAY_MILLIS + delayMillis, () -> deliver(grant));
+            time.after(NETWORK_DELAY_MILLIS + delayMillis, () -> deliver(grant, caller));
         } else {
-            time.after(GRANT_TIMEOUT_MILLIS, () -> answers.accept(new KeyEvent.CallUnanswered(grant.callId(), true)));
+            time.after(GRANT_TIMEOUT_MILLIS, () -> caller.accept(new KeyEvent.CallUnanswered(grant.callId(), true)));
             time.after(delayMillis, () -> takeEffectLate(grant, (long) (delayMillis - GRANT_TIMEOUT_MILLIS)));
         }
     }
@@ -96,48 +112,49 @@
         server.grant(grant.firstKey(), grant.lastKey(), grant.fence(), holdMillis);
     }
 
-    private void deliver(KeyAction.SendGrant grant) {
+    private void deliver(KeyAction.SendGrant grant, Consumer<KeyEvent> caller) {
         ReplayedServer server = serverByHost.get(grant.owner().host());
         boolean isPartitioned = partitionedServers.contains(grant.owner().serverId());
         if (server.isDown() || (isPartitioned && random.nextBoolean())) {
-            answers.accept(new KeyEvent.CallUnanswered(grant.callId(), !server.isDown()));
+            caller.accept(new KeyEvent.CallUnanswered(grant.callId(), !server.isDown()));
             return;
         }
         String process = grant.owner().host() + '#' + server.incarnation();
         if (grant.isRenewal() && !fences.wasGrantedTo(grant.fence(), process)) {
-            answers.accept(
+            caller.accept(
                     random.nextBoolean()
                             ? new KeyEvent.RenewalUnverified(grant.callId())
                             : new KeyEvent.CallUnanswered(grant.callId(), true));
             return;
         }
         if (server.hasSeenHigherFence(grant.firstKey(), grant.lastKey(), grant.fence())) {
-            time.after(NETWORK_DELAY_MILLIS, () -> answers.accept(new KeyEvent.GrantRejected(grant.callId())));
+            time.after(NETWORK_DELAY_MILLIS, () -> caller.accept(new KeyEvent.GrantRejected(grant.callId())));
             return;
         }
         take(grant, server, process, grant.holdMillis());
         time.after(
                 NETWORK_DELAY_MILLIS,
-                () -> answers.accept(
+                () -> caller.accept(
                         isPartitioned
                                 ? new KeyEvent.CallUnanswered(grant.callId(), true)
                                 : new KeyEvent.GrantAccepted(grant.callId(), grant.needsProof())));
     }
 
     void send(KeyAction.SendRelease release) {
-        time.after(NETWORK_DELAY_MILLIS, () -> deliver(release));
+        Consumer<KeyEvent> caller = answersForPresentController();
+        time.after(NETWORK_DELAY_MILLIS, () -> deliver(release, caller));
     }
 
-    private void deliver(KeyAction.SendRelease release) {
+    private void deliver(KeyAction.SendRelease release, Consumer<KeyEvent> caller) {
         ReplayedServer server = serverByHost.get(release.owner().host());
         if (server.isDown() || partitionedServers.contains(release.owner().serverId())) {
-            answers.accept(new KeyEvent.CallUnanswered(release.callId(), !server.isDown()));
+            caller.accept(new KeyEvent.CallUnanswered(release.callId(), !server.isDown()));
             return;
         }
         server.release(
                 release.firstKey(),
                 release.lastKey(),
                 () -> time.after(
-                        NETWORK_DELAY_MILLIS, () -> answers.accept(new KeyEvent.Released(release.callId(), "h"))));
+                        NETWORK_DELAY_MILLIS, () -> caller.accept(new KeyEvent.Released(release.callId(), "h"))));
     }
 }
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/OwnershipUnderFaultsTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/OwnershipUnderFaultsTest.java
@@ -87,6 +87,33 @@
         assertThat(replay.result().answeredRatio()).isPositive();
     }
 
+    /**
+     * Guards against a controller that gives a range on while a grant of the one before it may still take effect (issue
+     * 57).
+     */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void shouldNeverLetTwoServersHoldAKeyWhenControllersChangeWhileGrantsTakeEffectLate(long seed) {
+        UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(seed);
+        FleetReplay replay = new FleetReplay(seed, 3, new double[] {1, 1, 0.5, 1, 1.5, 1}, true);
+        replay.generateLoad(40, 100, END_MILLIS, () -> random.nextInt(KeyMap.KEY_COUNT / 8));
+        replay.time().after(3_000, () -> replay.grants().delayGrants(2_000));
+        for (int fault = 0; fault < FAULTS; fault++) {
+            double atMillis = 3_000 + random.nextDouble() * (END_MILLIS - 10_000);
+            String serverId = "server-" + (10 + random.nextInt(SERVERS));
+            replay.time().after(atMillis, () -> replay.drain(serverId));
+            replay.time().after(atMillis + random.nextInt(800), replay::replaceController);
+            replay.time().after(atMillis + 1_500 + random.nextInt(800), replay::replaceController);
+            replay.time().after(atMillis + 3_000, () -> replay.register(serverId));
+        }
+
+        replay.time().runUntilMillis(END_MILLIS);
+
+        assertThat(replay.result().doubleOwners()).isZero();
+        assertThat(replay.result().reusedFences()).isZero();
+        assertThat(replay.result().answeredRatio()).isPositive();
+    }
+
     private static FleetReplay playDelayedGrantsAndDrains(long seed, boolean hasCopiedAnswers) {
         UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(seed);
         FleetReplay replay = new FleetReplay(seed, 3, new double[] {1, 1, 0.5, 1, 1.5, 1}, true);
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/KeyMapCodec.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/KeyMapCodec.java
@@ -24,7 +24,8 @@
                         assignment.isSettled(),
                         assignment.predecessors().stream()
                                 .map(owner -> index(indexByOwner, owner))
-                                .toList()))
+                                .toList(),
+                        assignment.lateGrantMillis()))
                 .toList();
         return Json.write(new StoredMap(
                 map.service(), map.version(), map.nextFence(), List.copyOf(indexByOwner.keySet()), ranges));
@@ -48,7 +49,8 @@
                         stored.owners().get(range.owner()),
                         range.fence(),
                         range.isSettled(),
-                        range.predecessors().stream().map(stored.owners()::get).toList()))
+                        range.predecessors().stream().map(stored.owners()::get).toList(),
+                        range.lateGrantMillis() == null ? KeyAssignment.LONGEST_HOLD : range.lateGrantMillis()))
                 .toList();
         return new KeyMap(stored.service(), stored.version(), 0, stored.nextFence(), assignments);
     }
@@ -57,7 +59,16 @@
     private record StoredMap(
             String service, long version, long nextFence, List<Owner> owners, List<StoredRange> ranges) {}
 
-    /** The stored form of a range; owners are indexes into the list of the map. */
+    /**
+     * The stored form of a range; owners are indexes into the list of the map. Maps of earlier releases have no
+     * {@code lateGrantMillis}.
+     */
     private record StoredRange(
-            int first, int last, int owner, long fence, boolean isSettled, List<Integer> predecessors) {}
+            int first,
+            int last,
+            int owner,
+            long fence,
+            boolean isSettled,
+            List<Integer> predecessors,
+            Long lateGrantMillis) {}
 }
