--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
@@ -116,11 +116,8 @@
         long requestId = arrived.requestId();
         RequestHead head = arrived.head();
         if (!fleet.hasTable()) {
-            reject(
-                    requestId,
-                    CoreErrorCode.NOT_READY,
-                    "no configuration has been loaded yet",
-                    STARTUP_RETRY_AFTER_MILLIS);
+            String detail = "no configuration has been loaded yet";
+            reject(requestId, CoreErrorCode.NOT_READY, detail, STARTUP_RETRY_AFTER_MILLIS);
             return;
         }
         Optional<Route> route = fleet.routes().find(head.host(), head.path());
@@ -258,12 +255,8 @@
         long retryMillis = Math.max(1, (wait.retryNanos() - nowNanos) / 1_000_000L);
         double maxWaitMillis = request.route().targetLatencyMillis() * MAX_WAIT_FRACTION;
         if (request.ageMillis(nowNanos) + retryMillis > maxWaitMillis) {
-            rejectOpen(
-                    request,
-                    new Placement.Reject(
-                            wait.reason(),
-                            "the expected wait is too long for the latency objective",
-                            wait.retryAfterMillis()));
+            String detail = "the expected wait is too long for the latency objective";
+            rejectOpen(request, new Placement.Reject(wait.reason(), detail, wait.retryAfterMillis()));
         } else {
             timers.schedule(nowNanos + retryMillis * 1_000_000L, request.requestId(), Purpose.PLACE);
         }
@@ -328,10 +321,16 @@
         close(request);
         if (request.mayHaveRun()) {
             reject(request.requestId(), CoreErrorCode.OUTCOME_UNKNOWN, rejection.detail(), 0);
-        } else if (rejection.isScheduled()) {
-            actions.add(rejection.forRequest(request.requestId()));
         } else {
-            reject(request.requestId(), rejection.reason(), rejection.detail(), rejection.retryAfterMillis());
+            reject(request.requestId(), rejection);
+        }
+    }
+
+    private void reject(long requestId, Placement.Reject rejection) {
+        if (rejection.isScheduled()) {
+            actions.add(rejection.forRequest(requestId));
+        } else {
+            reject(requestId, rejection.reason(), rejection.detail(), rejection.retryAfterMillis());
         }
     }
 
@@ -341,18 +340,31 @@
 
     void handleCallerLeft(long requestId) {
         OpenRequest request = openById.get(requestId);
-        if (request == null) {
-            return;
+        if (request != null) {
+            close(request);
+            cancelAttempt(request);
         }
-        close(request);
+    }
+
+    /** Cancels the attempt in flight, if any; one that must not be repeated may still come to its end. */
+    private void cancelAttempt(OpenRequest request) {
         if (request.currentServer() != null) {
-            request.currentServer().recordCancelled(requestId);
+            request.currentServer().recordCancelled(request.requestId());
             if (request.route().isIdempotent()) {
-                actions.add(new ServingAction.CancelAttempt(requestId, request.attemptCount()));
+                actions.add(new ServingAction.CancelAttempt(request.requestId(), request.attemptCount()));
             }
         }
     }
 
+    /** Ends all requests because the process ends. */
+    void endAll() {
+        for (OpenRequest request : List.copyOf(openById.values())) {
+            close(request);
+            cancelAttempt(request);
+            reject(request.requestId(), UnfinishedRequests.atStop(request));
+        }
+    }
+
     /** Runs the timers that are due and reports the key load if a report is due. */
     void runDueTimers(long nowNanos) {
         Optional<RequestTimers.Timer> due = timers.pollDue(nowNanos);
@@ -378,18 +390,9 @@
     private void timeOut(OpenRequest request) {
         close(request);
         if (request.currentServer() != null) {
-            String serverId = request.currentServer().server().id();
             request.currentServer().recordCancelled(request.requestId());
             actions.add(new ServingAction.CancelAttempt(request.requestId(), request.attemptCount()));
-            reject(request.requestId(), CoreErrorCode.TIMED_OUT, "server=" + serverId, 0);
-        } else if (request.mayHaveRun()) {
-            reject(request.requestId(), CoreErrorCode.TIMED_OUT, "while waiting for a retry", 0);
-        } else {
-            reject(
-                    request.requestId(),
-                    CoreErrorCode.OVERLOADED,
-                    "no server was available before the deadline",
-                    RetryAfterJitter.MAX_MILLIS);
         }
+        reject(request.requestId(), UnfinishedRequests.atDeadline(request));
     }
 }
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/UnknownOutcomeTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/UnknownOutcomeTest.java
@@ -24,14 +24,16 @@
         handle(new ServingEvent.RoutersConfirmed(nowNanos));
         handle(new ServingEvent.TableChanged(new RoutingTable(
                 5,
-                List.of(route("pay", false), route("read", true)),
-                Map.of("pooled", new ServiceRules("pooled", "/health", 120, 3_000, 7, false, 0)),
+                List.of(route("pay", "pooled", false), route("read", "pooled", true), route("keyed", "keyed", false)),
+                Map.of(
+                        "pooled", new ServiceRules("pooled", "/health", 120, 3_000, 7, false, 0),
+                        "keyed", new ServiceRules("keyed", "/health", 120, 3_000, 7, true, 0)),
                 new RequestLimits(16_384, 1 << 20, 3_000, 15_000))));
         List.of("s1", "s2", "s3").forEach(this::add);
     }
 
-    private static Route route(String name, boolean isIdempotent) {
-        List<Route.WeightedService> services = List.of(new Route.WeightedService("pooled", 1));
+    private static Route route(String name, String service, boolean isIdempotent) {
+        List<Route.WeightedService> services = List.of(new Route.WeightedService(service, 1));
         return new Route(name, "h", "/" + name + "/", isIdempotent, TIMEOUT_MILLIS, 400, 1, 2, services);
     }
 
@@ -123,4 +125,24 @@
         assertThat(isSent(repeated)).isFalse();
         assertThat(rejections(repeated)).isEmpty();
     }
+
+    @Test
+    void shouldReportAnUnknownOutcomeOfASentRequestWhenTheProcessEnds() {
+        arrive("/pay/1");
+
+        assertThat(rejections(handle(new ServingEvent.StopDue()))).containsExactly(CoreErrorCode.OUTCOME_UNKNOWN);
+        assertThat(handle(new ServingEvent.StopDue())).isEmpty();
+    }
+
+    @Test
+    void shouldRejectARequestThatWaitsForTheOwnerOfItsKeyAsNotRunWhenTheProcessEnds() {
+        BackendServer server = new BackendServer("k1", 7, "keyed", "10.0.0.2", 80, "dc1", 3, false, 0);
+        handle(new ServingEvent.ServerChanged(server));
+        KeyAssignment moving = KeyAssignment.first(0, KeyMap.KEY_COUNT - 1, KeyAssignment.Owner.of(server), 1);
+        handle(new ServingEvent.KeyMapChanged(new KeyMap("keyed", 1, 0, 2, List.of(moving))));
+        RequestHead head = new RequestHead("h", "/keyed/1", 1_500, 7, 0, "id");
+        assertThat(handle(new ServingEvent.RequestArrived(1, head, nowNanos))).isEmpty();
+
+        assertThat(rejections(handle(new ServingEvent.StopDue()))).containsExactly(CoreErrorCode.STOPPING);
+    }
 }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -32,6 +32,7 @@
 import org.daisyscale.router.serving.PlatformDialect;
 import org.daisyscale.router.serving.ServingRouterSettings;
 import org.daisyscale.router.serving.ServingRouterSettings.Address;
+import org.daisyscale.router.serving.StopSchedule;
 import ratpack.handling.Context;
 import ratpack.server.RatpackServer;
 
@@ -54,8 +55,6 @@
     private static final long CHANGE_BATCH_MILLIS = 200;
 
     private static final long STOP_CHECK_MILLIS = 50;
-    /** Time before the end of a stop for sending responses that wait behind others, in milliseconds. */
-    private static final long DELIVERY_MILLIS = 500;
 
     private static final String METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8";
 
@@ -278,11 +277,13 @@
 
     /** Stops serving: releases the control of the keys first, accepts no new requests and lets those in flight end. */
     private void stop(LeaseDuty lease) throws InterruptedException {
+        long startNanos = System.nanoTime();
         EventLog.info("stopping", "openRequests=" + exchanges.size() + " connections=" + connections.size());
         readiness.markStopping();
         connections.startClosing();
         lease.stop();
-        long startNanos = System.nanoTime();
+        StopSchedule schedule = settings.stop();
+        boolean isGivenUp = false;
         boolean isDone = false;
         while (!isDone) {
             Thread.sleep(STOP_CHECK_MILLIS);
@@ -291,10 +292,13 @@
                 connections.startRejecting();
                 connections.closeIdle();
             }
-            if (elapsedMillis >= settings.stopMillis() - DELIVERY_MILLIS) {
+            if (elapsedMillis >= schedule.giveUpBlockingMillis()) {
                 connections.giveUpBlocking();
             }
-            isDone = elapsedMillis >= settings.stopMillis()
+            if (elapsedMillis >= schedule.giveUpAllMillis() && !isGivenUp) {
+                isGivenUp = servingEvents.offer(new ServingEvent.StopDue());
+            }
+            isDone = elapsedMillis >= schedule.endMillis()
                     || (elapsedMillis > BALANCER_GRACE_MILLIS + STOP_CHECK_MILLIS
                             && exchanges.size() == 0
                             && connections.size() == 0);
--- a/daisyscale-router/src/main/java/org/daisyscale/router/serving/ServingRouterSettings.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/serving/ServingRouterSettings.java
@@ -13,7 +13,7 @@
  * @param metricsPort the port of the metrics page on the same host
  * @param peers the address for other routers
  * @param store the address of the platform's store
- * @param stopMillis the time between the request to stop and the end of the process, in milliseconds
+ * @param stop when a router that was asked to stop gives up what is still open
  * @param cores the processor share of the router's VM, in cores
  * @param memoryMb the memory of the router's VM, in megabytes; 0 if the settings don't state it
  */
@@ -25,10 +25,15 @@
         int metricsPort,
         Address peers,
         Address store,
-        long stopMillis,
+        StopSchedule stop,
         double cores,
         long memoryMb) {
 
+    /** Returns the time between the request to stop and the end of the process, in milliseconds. */
+    public long stopMillis() {
+        return stop.endMillis();
+    }
+
     /** An IP address and a port. Immutable. */
     public record Address(String host, int port) {}
 }
