--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/DirectRequestRouter.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/DirectRequestRouter.java
@@ -37,6 +37,8 @@
             coordinator.handleGrant(granted.grant(), nowNanos);
         } else if (event instanceof ServingEvent.Suspended) {
             coordinator.handleSuspension(nowNanos);
+        } else if (event instanceof ServingEvent.LossesRead read) {
+            coordinator.handleLosses(read.losses(), nowNanos);
         } else if (event instanceof ServingEvent.StopDue) {
             coordinator.endAll();
         } else {
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/LostRequests.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/LostRequests.java
@@ -1,7 +1,6 @@
 package org.daisyscale.core.internal.serving;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,16 +9,20 @@
 import org.daisyscale.core.serving.AttemptOutcome;
 import org.daisyscale.core.serving.BackendServer;
 import org.daisyscale.core.serving.FleetNews;
+import org.daisyscale.core.serving.LossRecord;
+import org.daisyscale.core.serving.LossRecord.LostServer;
 import org.daisyscale.core.serving.ServingAction;
 import org.daisyscale.core.serving.ServingEvent.RequestArrived;
 
 /**
  * Remembers, by fingerprint, the requests that were lost with the servers that ran them: some of them crash each one.
- * Such a request is no longer repeated, and later paused for longer each time, since every crash also ends the other
- * requests at the server. An answer clears a request.
+ * Such a request is no longer repeated, and then paused, since every crash also ends the other requests at the server.
+ * After each of the first pauses one router tries it once; after that it stays paused until it is forgotten. An answer
+ * clears a request.
  *
- * <p>Invariants: a request counts once for each incarnation of a server; at most {@value #MAX_REQUESTS} requests are
- * kept, and those lost longest ago are evicted first.
+ * <p>Invariants: at most {@value #MAX_REQUESTS} requests are kept; of those lost with one server, or else of all,
+ * the ones lost longest ago are evicted first. What is kept here is told to the other routers at once and stored, see
+ * {@link LossStorage}.
  *
  * <p>Not thread-safe; confined to the core thread.
  */
@@ -27,44 +30,66 @@
     private static final int MAX_REQUESTS = 10_000;
     /** Servers lost with a request after which routers don't repeat it; a single loss is mostly the server's own. */
     private static final int MAX_REPEATED_LOSSES = 1;
-    /** Servers lost with a request from which on it is paused. */
-    private static final int PAUSING_LOSSES = 3;
-    /** First pause, in milliseconds; about the time in which a crashed server is back. */
-    private static final long FIRST_PAUSE_MILLIS = 10_000;
-    /** Limit of the doublings of the pause. */
-    private static final int MAX_DOUBLINGS = 5;
-    /** How long a request is remembered after its last loss, in nanoseconds. */
-    private static final long RETENTION_NANOS = 600_000_000_000L;
 
     /**
      * Limits the losses that are told to the other routers: when many requests are lost together, no single one is the
      * cause, and telling each would burden the controller just then.
      */
     private static final int MAX_TOLD_PER_SECOND = 20;
+    /** Delay between the routers that may try a paused request, in milliseconds: the news of a try arrive within. */
+    private static final long TRY_INTERVAL_MILLIS = 500;
+    /** Limit of the routers between whose tries there is such a delay. */
+    private static final int MAX_RANK = 10;
 
+    private final FleetView fleet;
     private final SlidingWindowCounter told = new SlidingWindowCounter(1_000_000_000L);
-    private final Map<Long, Losses> lossesByFingerprint = new LinkedHashMap<>();
+    private final LossStorage storage = new LossStorage();
+    private final Map<Long, RequestLosses> lossesByFingerprint = new LinkedHashMap<>();
+
+    LostRequests(FleetView fleet) {
+        this.fleet = fleet;
+    }
 
     /** Records the end of an attempt of {@code request} at {@code server}; returns what has to be told of it. */
     List<ServingAction> recordEnd(OpenRequest request, BackendServer server, AttemptOutcome outcome, long nowNanos) {
         long fingerprint = request.fingerprint();
         if (outcome == AttemptOutcome.LOST && fingerprint != RequestArrived.NO_FINGERPRINT) {
-            recordLost(fingerprint, Incarnation.of(server), nowNanos);
+            RequestLosses losses =
+                    recordLost(fingerprint, new LostServer(server.id(), server.bornEpochMillis()), nowNanos);
             List<ServingAction> actions = new ArrayList<>();
             if (told.count(nowNanos) < MAX_TOLD_PER_SECOND) {
                 told.add(nowNanos);
                 actions.add(new ServingAction.ShareNews(
                         new PeerMessage.RequestLost(fingerprint, server.id(), server.bornEpochMillis())));
             }
+            store(fingerprint, losses, actions, nowNanos);
             if (!mayRepeat(fingerprint, nowNanos)) {
                 actions.add(report(request, nowNanos));
             }
             return actions;
         }
         boolean isAnswer = outcome == AttemptOutcome.ANSWERED || outcome == AttemptOutcome.FAILED;
-        return isAnswer && recordAnswered(fingerprint)
-                ? List.of(new ServingAction.ShareNews(new PeerMessage.RequestAnswered(fingerprint)))
-                : List.of();
+        return isAnswer ? recordAnswered(fingerprint) : List.of();
+    }
+
+    private void store(long fingerprint, RequestLosses losses, List<ServingAction> actions, long nowNanos) {
+        if (losses.count() <= MAX_REPEATED_LOSSES) {
+            storage.delayFirst(fingerprint, nowNanos);
+        } else if (storage.tryStoreRepeated(nowNanos)) {
+            losses.markStored();
+            actions.add(new ServingAction.StoreLosses(losses.toRecord(fingerprint, nowNanos)));
+        }
+    }
+
+    private List<ServingAction> recordAnswered(long fingerprint) {
+        RequestLosses cleared = lossesByFingerprint.isEmpty() ? null : lossesByFingerprint.remove(fingerprint);
+        if (cleared == null) {
+            return List.of();
+        }
+        ServingAction news = new ServingAction.ShareNews(new PeerMessage.RequestAnswered(fingerprint));
+        return cleared.isStored()
+                ? List.of(news, new ServingAction.StoreLosses(LossRecord.answered(fingerprint)))
+                : List.of(news);
     }
 
     private ServingAction report(OpenRequest request, long nowNanos) {
@@ -80,26 +105,66 @@
     /** Handles what another router saw. */
     void handle(FleetNews news, long nowNanos) {
         if (news instanceof PeerMessage.RequestLost lost) {
-            recordLost(lost.fingerprint(), new Incarnation(lost.serverId(), lost.bornEpochMillis()), nowNanos);
+            recordLost(lost.fingerprint(), new LostServer(lost.serverId(), lost.bornEpochMillis()), nowNanos);
         } else if (news instanceof PeerMessage.RequestAnswered answered) {
-            recordAnswered(answered.fingerprint());
+            lossesByFingerprint.remove(answered.fingerprint());
         }
     }
 
-    private void recordLost(long fingerprint, Incarnation incarnation, long nowNanos) {
-        Losses losses = lossesByFingerprint.remove(fingerprint);
+    /** Handles what the store has about a request. */
+    void handle(LossRecord stored, long nowNanos) {
+        if (stored.isAnswered()) {
+            lossesByFingerprint.remove(stored.fingerprint());
+        } else if (stored.ageMillis() < RequestLosses.RETENTION_MILLIS) {
+            touch(stored.fingerprint(), nowNanos).merge(stored, nowNanos);
+        }
+    }
+
+    private RequestLosses recordLost(long fingerprint, LostServer server, long nowNanos) {
+        RequestLosses losses = touch(fingerprint, nowNanos);
+        losses.add(server, nowNanos);
+        return losses;
+    }
+
+    /** Returns the losses of the request, which are the last to be evicted from now on. */
+    private RequestLosses touch(long fingerprint, long nowNanos) {
+        RequestLosses losses = lossesByFingerprint.remove(fingerprint);
         if (losses == null || losses.isOver(nowNanos)) {
-            losses = new Losses();
+            losses = new RequestLosses(nowNanos);
+        }
+        if (lossesByFingerprint.size() >= MAX_REQUESTS) {
+            evictOne();
         }
-        losses.add(incarnation, nowNanos);
         lossesByFingerprint.put(fingerprint, losses);
-        if (lossesByFingerprint.size() > MAX_REQUESTS) {
-            lossesByFingerprint.remove(lossesByFingerprint.keySet().iterator().next());
+        return losses;
+    }
+
+    private void evictOne() {
+        long evicted = lossesByFingerprint.entrySet().stream()
+                .filter(entry -> entry.getValue().count() <= MAX_REPEATED_LOSSES)
+                .findFirst()
+                .map(Map.Entry::getKey)
+                .orElseGet(() -> lossesByFingerprint.keySet().iterator().next());
+        lossesByFingerprint.remove(evicted);
+    }
+
+    /** Returns the first losses that are to be stored now. */
+    List<ServingAction> takeDue(long nowNanos) {
+        List<ServingAction> actions = new ArrayList<>();
+        LossStorage.DelayedLoss due = storage.pollDue(nowNanos);
+        while (due != null) {
+            RequestLosses losses = lossesByFingerprint.get(due.fingerprint());
+            if (losses != null && !losses.isStored() && storage.tryStoreFirst(nowNanos)) {
+                losses.markStored();
+                actions.add(new ServingAction.StoreLosses(losses.toRecord(due.fingerprint(), nowNanos)));
+            }
+            due = storage.pollDue(nowNanos);
         }
+        return actions;
     }
 
-    private boolean recordAnswered(long fingerprint) {
-        return !lossesByFingerprint.isEmpty() && lossesByFingerprint.remove(fingerprint) != null;
+    long nextDueNanos() {
+        return storage.nextDueNanos();
     }
 
     /** Returns whether the request may be sent once more for the same arrival. */
@@ -107,42 +172,39 @@
         return lossCount(fingerprint, nowNanos) <= MAX_REPEATED_LOSSES;
     }
 
-    /** Returns how much longer the request is rejected, in milliseconds; 0 when it may be sent. */
+    /**
+     * Returns how much longer the request is rejected, in milliseconds; 0 when it may be sent. The routers may try a
+     * paused request one after the other.
+     */
     long pauseMillis(long fingerprint, long nowNanos) {
-        int lossCount = lossCount(fingerprint, nowNanos);
-        if (lossCount < PAUSING_LOSSES) {
-            return 0;
-        }
-        long pauseMillis = FIRST_PAUSE_MILLIS << Math.min(lossCount - PAUSING_LOSSES, MAX_DOUBLINGS);
-        long passedMillis = (nowNanos - lossesByFingerprint.get(fingerprint).lastNanos) / 1_000_000L;
-        return Math.max(0, pauseMillis - passedMillis);
+        return lossCount(fingerprint, nowNanos) < RequestLosses.PAUSING_LOSSES
+                ? 0
+                : lossesByFingerprint.get(fingerprint).pauseLeftMillis(tryDelayMillis(fingerprint, nowNanos), nowNanos);
     }
 
-    int lossCount(long fingerprint, long nowNanos) {
-        if (lossesByFingerprint.isEmpty()) {
-            return 0;
-        }
-        Losses losses = lossesByFingerprint.get(fingerprint);
-        return losses == null || losses.isOver(nowNanos) ? 0 : losses.incarnations.size();
+    private long tryDelayMillis(long fingerprint, long nowNanos) {
+        Set<String> routerIds = fleet.routers().routerIds(nowNanos);
+        String ownId = fleet.settings().routerId();
+        int ownIndex = (int) routerIds.stream()
+                .filter(routerId -> routerId.compareTo(ownId) < 0)
+                .count();
+        int firstIndex = Math.floorMod(fingerprint, routerIds.size());
+        int rank = Math.floorMod(ownIndex - firstIndex, routerIds.size());
+        return Math.min(rank, MAX_RANK) * TRY_INTERVAL_MILLIS;
     }
 
-    /** The servers lost with one request. */
-    private static final class Losses {
-        /** Further losses change nothing. */
-        private static final int MAX_INCARNATIONS = PAUSING_LOSSES + MAX_DOUBLINGS;
-
-        private final Set<Incarnation> incarnations = new HashSet<>();
-        private long lastNanos;
-
-        private void add(Incarnation incarnation, long nowNanos) {
-            if (incarnations.size() < MAX_INCARNATIONS) {
-                incarnations.add(incarnation);
-            }
-            lastNanos = nowNanos;
+    /** Records that the request is sent. */
+    void recordSent(long fingerprint, long nowNanos) {
+        if (lossCount(fingerprint, nowNanos) >= RequestLosses.PAUSING_LOSSES) {
+            lossesByFingerprint.get(fingerprint).startTry(nowNanos);
         }
+    }
 
-        private boolean isOver(long nowNanos) {
-            return nowNanos - lastNanos >= RETENTION_NANOS;
+    int lossCount(long fingerprint, long nowNanos) {
+        if (lossesByFingerprint.isEmpty()) {
+            return 0;
         }
+        RequestLosses losses = lossesByFingerprint.get(fingerprint);
+        return losses == null || losses.isOver(nowNanos) ? 0 : losses.count();
     }
 }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.LongStream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.daisyscale.core.error.CoreErrorCode;
 import org.daisyscale.core.internal.serving.RequestTimers.Purpose;
@@ -13,6 +14,7 @@
 import org.daisyscale.core.serving.AttemptOutcome;
 import org.daisyscale.core.serving.BackendServer;
 import org.daisyscale.core.serving.FleetNews;
+import org.daisyscale.core.serving.LossRecord;
 import org.daisyscale.core.serving.RequestHead;
 import org.daisyscale.core.serving.Route;
 import org.daisyscale.core.serving.RoutingTable;
@@ -31,13 +33,6 @@
 final class RequestCoordinator {
     /** Margin between the final answer and the caller's timeout, in milliseconds; covers the way to the caller. */
     private static final long REPLY_MARGIN_MILLIS = 30;
-    /** Retry-after advice of a router that has just started, in milliseconds; by then it has a configuration. */
-    private static final long STARTUP_RETRY_AFTER_MILLIS = 500;
-    /**
-     * Retry-after advice while the configuration may be out of date, in milliseconds: the time within which a router
-     * repeats a lost read of the store.
-     */
-    private static final long UNCERTAIN_RETRY_AFTER_MILLIS = 700;
     /** Maximum wait for a server, as a fraction of the latency objective. */
     private static final double MAX_WAIT_FRACTION = 0.5;
 
@@ -51,7 +46,8 @@
     private final RequestTimers timers = new RequestTimers();
     private final HealthChecks healthChecks;
     private final Admission admission;
-    private final LostRequests lostRequests = new LostRequests();
+    private final LostRequests lostRequests;
+    private final ArrivalChecks arrivalChecks;
     private final KeyLoadRecorder keyLoadRecorder;
     private final AllowanceGate allowances;
     private final Map<Long, OpenRequest> openById = new HashMap<>();
@@ -65,6 +61,8 @@
         this.admission = new Admission(fleet);
         this.healthChecks = new HealthChecks(fleet);
         this.retryBudget = new RetryBudget(fleet.settings());
+        this.lostRequests = new LostRequests(fleet);
+        this.arrivalChecks = new ArrivalChecks(fleet, lostRequests, retryAfterJitter);
         this.retryPolicy = new RetryPolicy(fleet, retryBudget, lostRequests);
         this.keyLoadRecorder = new KeyLoadRecorder(fleet);
         this.allowances = new AllowanceGate(fleet);
@@ -77,7 +75,13 @@
     }
 
     long nextDueNanos() {
-        return Math.min(allowances.nextDueNanos(), Math.min(timers.nextDueNanos(), keyLoadRecorder.nextDueNanos()));
+        return LongStream.of(
+                        allowances.nextDueNanos(),
+                        timers.nextDueNanos(),
+                        keyLoadRecorder.nextDueNanos(),
+                        lostRequests.nextDueNanos())
+                .min()
+                .getAsLong();
     }
 
     /** Handles what another router saw. */
@@ -87,6 +91,11 @@
         fleet.notices().handle(news, nowNanos);
     }
 
+    /** Handles what the store has about a request that was lost with servers. */
+    void handleLosses(LossRecord stored, long nowNanos) {
+        lostRequests.handle(stored, nowNanos);
+    }
+
     void handleHealth(ServingEvent.HealthReported reported, long nowNanos) {
         actions.addAll(healthChecks.handleReport(reported.server(), reported.report(), nowNanos));
     }
@@ -113,64 +122,12 @@
     }
 
     void handleArrival(ServingEvent.RequestArrived arrived, long nowNanos) {
-        long requestId = arrived.requestId();
-        RequestHead head = arrived.head();
-        if (!fleet.hasTable()) {
-            String detail = "no configuration has been loaded yet";
-            reject(requestId, CoreErrorCode.NOT_READY, detail, STARTUP_RETRY_AFTER_MILLIS);
-            return;
-        }
-        Optional<Route> route = fleet.routes().find(head.host(), head.path());
-        if (route.isEmpty()) {
-            rejectByConfiguration(
-                    requestId,
-                    CoreErrorCode.NO_ROUTE,
-                    CoreErrorCode.ROUTE_UNCERTAIN,
-                    "host=" + head.host() + " path=" + head.path(),
-                    nowNanos);
-            return;
-        }
-        Optional<Caller> caller = fleet.organisations().identify(head, route.get());
-        if (caller.isEmpty()) {
-            rejectByConfiguration(
-                    requestId,
-                    CoreErrorCode.UNKNOWN_API_KEY,
-                    CoreErrorCode.API_KEY_UNCERTAIN,
-                    "route=" + route.get().name() + " keyDigest=" + head.apiKey(),
-                    nowNanos);
-            return;
-        }
-        long waitedMillis = Math.max(0, (nowNanos - arrived.arrivedNanos()) / 1_000_000L);
-        if (waitedMillis >= CallerTimeouts.maxUnreadMillis(head)) {
-            String detail =
-                    "the router is overloaded: it read the request %d ms after its arrival".formatted(waitedMillis);
-            reject(requestId, CoreErrorCode.OVERLOADED, detail, RetryAfterJitter.MAX_MILLIS);
-            return;
-        }
-        long pauseMillis = lostRequests.pauseMillis(arrived.fingerprint(), nowNanos);
-        if (pauseMillis > 0) {
-            String detail =
-                    "servers lost while they ran it: " + lostRequests.lossCount(arrived.fingerprint(), nowNanos);
-            reject(requestId, CoreErrorCode.SUSPECT_REQUEST, detail, pauseMillis);
-            return;
+        ArrivalCheck check = arrivalChecks.check(arrived, nowNanos);
+        if (check instanceof ArrivalCheck.Accepted accepted) {
+            open(arrived, accepted.route(), accepted.caller(), nowNanos);
+        } else if (check instanceof ArrivalCheck.Rejected rejected) {
+            actions.add(rejected.rejection());
         }
-        open(arrived, route.get(), caller.get(), nowNanos);
-    }
-
-    /**
-     * Rejects a request that the configuration doesn't allow: as {@code certain} if the configuration is current, and
-     * as {@code uncertain}, which isn't final, if operators may have written a newer one.
-     */
-    private void rejectByConfiguration(
-            long requestId, CoreErrorCode certain, CoreErrorCode uncertain, String detail, long nowNanos) {
-        ConfigurationStatus configuration = fleet.configuration();
-        boolean isCurrent = configuration.isCurrent(nowNanos);
-        actions.add(new ServingAction.Reject(
-                requestId,
-                isCurrent ? certain : uncertain,
-                detail,
-                isCurrent ? 0 : retryAfterJitter.add(UNCERTAIN_RETRY_AFTER_MILLIS),
-                configuration.describe(nowNanos)));
     }
 
     private void open(ServingEvent.RequestArrived arrived, Route route, Caller caller, long nowNanos) {
@@ -242,6 +199,7 @@
             actions.add(ColdStartReports.create(request, view, fleet, nowNanos));
         }
         request.startAttempt(view, nowNanos);
+        lostRequests.recordSent(request.fingerprint(), nowNanos);
         actions.add(new ServingAction.SendAttempt(
                 request.requestId(),
                 request.attemptCount(),
@@ -377,6 +335,7 @@
         }
         keyLoadRecorder.takeDue(nowNanos).forEach(load -> actions.add(new ServingAction.ReportKeyLoad(load)));
         actions.addAll(allowances.takeDue(nowNanos));
+        actions.addAll(lostRequests.takeDue(nowNanos));
     }
 
     private void runTimer(OpenRequest request, Purpose purpose, long nowNanos) {
--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingAction.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingAction.java
@@ -71,6 +71,9 @@
     /** Tells all other routers what this one saw. */
     record ShareNews(FleetNews news) implements ServingAction {}
 
+    /** Writes {@code losses} to the store, in place of what it has about the same request. */
+    record StoreLosses(LossRecord losses) implements ServingAction {}
+
     /**
      * Writes a log line.
      *
--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingEvent.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingEvent.java
@@ -155,6 +155,9 @@
     /** The VM was suspended, and the monotonic clock did not count the time. */
     record Suspended() implements ServingEvent {}
 
+    /** The store has {@code losses} about a request, which this or another router wrote. */
+    record LossesRead(LossRecord losses) implements ServingEvent {}
+
     /** The process ends shortly: all requests have to end now, so that their callers learn what became of them. */
     record StopDue() implements ServingEvent {}
 
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/CrashingRequestTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/CrashingRequestTest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.daisyscale.core.error.CoreErrorCode;
+import org.daisyscale.core.peer.PeerMessage;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -27,25 +28,27 @@
 
     @BeforeEach
     void registerServers() {
+        routers.forEach(this::registerServers);
+    }
+
+    private void registerServers(RequestRouter router) {
         ServiceRules rules = new ServiceRules("pooled", "/health", 120, 3_000, 7, false, 0);
         Route route =
                 new Route("read", "h", "/", true, 800, 400, 1, 2, List.of(new Route.WeightedService("pooled", 1)));
-        for (RequestRouter router : routers) {
-            handle(router, new ServingEvent.RegistrationRenewed(nowNanos - 10_000 * MILLI, Long.MAX_VALUE / 2));
-            handle(router, new ServingEvent.RoutersConfirmed(nowNanos));
+        handle(router, new ServingEvent.RegistrationRenewed(nowNanos - 10_000 * MILLI, Long.MAX_VALUE / 2));
+        handle(router, new ServingEvent.RoutersConfirmed(nowNanos));
+        handle(
+                router,
+                new ServingEvent.TableChanged(new RoutingTable(
+                        1,
+                        List.of(route),
+                        Map.of("pooled", rules),
+                        new RequestLimits(16_384, 1 << 20, 3_000, 15_000))));
+        for (int index = 0; index < SERVERS; index++) {
             handle(
                     router,
-                    new ServingEvent.TableChanged(new RoutingTable(
-                            1,
-                            List.of(route),
-                            Map.of("pooled", rules),
-                            new RequestLimits(16_384, 1 << 20, 3_000, 15_000))));
-            for (int index = 0; index < SERVERS; index++) {
-                handle(
-                        router,
-                        new ServingEvent.ServerChanged(new BackendServer(
-                                "s" + index, 7, "pooled", "10.0.0.1", 80 + index, "dc1", 3, false, 0)));
-            }
+                    new ServingEvent.ServerChanged(
+                            new BackendServer("s" + index, 7, "pooled", "10.0.0.1", 80 + index, "dc1", 3, false, 0)));
         }
     }
 
@@ -177,4 +180,118 @@
         assertThat(rejection(send(routers.get(0), HARMLESS, AttemptOutcome.ANSWERED)))
                 .isEmpty();
     }
+
+    private static List<LossRecord> stored(List<ServingAction> actions) {
+        return actions.stream()
+                .filter(ServingAction.StoreLosses.class::isInstance)
+                .map(action -> ((ServingAction.StoreLosses) action).losses())
+                .toList();
+    }
+
+    /** Returns a router that starts and reads {@code losses} in the store. */
+    private RequestRouter startRouter(LossRecord losses) {
+        RequestRouter started = createRouter("r3");
+        registerServers(started);
+        started.handle(new ServingEvent.LossesRead(losses), nowNanos);
+        return started;
+    }
+
+    /** Guards against a router that starts and sends a request on that crashes servers (issue 57). */
+    @Test
+    void shouldRejectARequestAtOnceThatWasLostWithThreeServersBeforeTheRouterStarted() {
+        List<LossRecord> stored = new ArrayList<>(stored(send(routers.get(0), CRASHING, AttemptOutcome.LOST)));
+        stored.addAll(stored(send(routers.get(1), CRASHING, AttemptOutcome.LOST)));
+
+        RequestRouter started = startRouter(stored.get(stored.size() - 1));
+
+        assertThat(attempts(send(started, CRASHING, AttemptOutcome.LOST))).isZero();
+    }
+
+    @Test
+    void shouldStoreTheFirstLossOfARequestUnlessAServerAnswersItShortlyAfterwards() {
+        send(routers.get(0), HARMLESS, AttemptOutcome.ANSWERED);
+        sendOnce(CRASHING, AttemptOutcome.LOST);
+        sendOnce(HARMLESS, AttemptOutcome.LOST);
+        send(routers.get(0), HARMLESS, AttemptOutcome.ANSWERED);
+
+        nowNanos += 1_000 * MILLI;
+        List<ServingAction> later = handle(routers.get(0), new ServingEvent.TimePassed());
+
+        assertThat(stored(later)).extracting(LossRecord::fingerprint).containsExactly(CRASHING);
+    }
+
+    /** Sends a request for which no second server is registered. */
+    private void sendOnce(long fingerprint, AttemptOutcome outcome) {
+        RequestHead head = new RequestHead("h", "/x", 1_500, RequestHead.NO_KEY, 0, "id");
+        long requestId = ++lastRequestId;
+        handle(routers.get(0), new ServingEvent.RequestArrived(requestId, head, fingerprint, nowNanos));
+        handle(routers.get(0), new ServingEvent.AttemptEnded(requestId, 1, outcome, Optional.empty()));
+        handle(routers.get(0), new ServingEvent.CallerLeft(requestId));
+    }
+
+    @Test
+    void shouldEraseTheStoredLossesOfARequestThatAServerAnswered() {
+        send(routers.get(0), CRASHING, AttemptOutcome.LOST);
+
+        List<LossRecord> stored = stored(send(routers.get(0), CRASHING, AttemptOutcome.ANSWERED));
+
+        assertThat(stored).containsExactly(LossRecord.answered(CRASHING));
+    }
+
+    /** Says when a request is served again that met three crashing servers by chance. */
+    @Test
+    void shouldServeASoundRequestTenSecondsAfterItWasLostWithThreeServersByChance() {
+        send(routers.get(0), HARMLESS, AttemptOutcome.LOST);
+        send(routers.get(0), HARMLESS, AttemptOutcome.LOST);
+        registerServers();
+
+        nowNanos += 9_900 * MILLI;
+        assertThat(rejection(send(routers.get(0), HARMLESS, AttemptOutcome.ANSWERED)))
+                .isPresent();
+        nowNanos += 100 * MILLI;
+        assertThat(rejection(send(routers.get(0), HARMLESS, AttemptOutcome.ANSWERED)))
+                .isEmpty();
+        assertThat(rejection(send(routers.get(1), HARMLESS, AttemptOutcome.ANSWERED)))
+                .isEmpty();
+    }
+
+    @Test
+    void shouldSendARequestAtMostTwiceInTenMinutesAfterItWasLostWithThreeServers() {
+        send(routers.get(0), CRASHING, AttemptOutcome.LOST);
+        send(routers.get(1), CRASHING, AttemptOutcome.LOST);
+        int tries = 0;
+        for (int second = 0; second < 590; second++) {
+            nowNanos += 1_000 * MILLI;
+            registerServers();
+            tries += attempts(send(routers.get(second % 2), CRASHING, AttemptOutcome.LOST));
+        }
+
+        assertThat(tries).isEqualTo(2);
+    }
+
+    /** Guards against a popular request that stays paused after many servers were lost at once. */
+    @Test
+    void shouldNotPauseARequestForLongerWhenItIsLostWithMoreServersAtOnce() {
+        for (int index = 0; index < SERVERS; index++) {
+            PeerMessage.RequestLost lost = new PeerMessage.RequestLost(HARMLESS, "s" + index, 7);
+            routers.get(0).handle(new ServingEvent.NewsReceived(lost), nowNanos);
+        }
+
+        nowNanos += 10_000 * MILLI;
+
+        assertThat(rejection(send(routers.get(0), HARMLESS, AttemptOutcome.ANSWERED)))
+                .isEmpty();
+    }
+
+    @Test
+    void shouldStoreFewRequestsWhenManyAreLostTogether() {
+        int stored = 0;
+        for (int index = 0; index < 200; index++) {
+            registerServers();
+            stored += stored(send(routers.get(0), HARMLESS + index, AttemptOutcome.LOST))
+                    .size();
+        }
+
+        assertThat(stored).isLessThanOrEqualTo(60);
+    }
 }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetListeners.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetListeners.java
@@ -74,7 +74,7 @@
     }
 
     /** Creates a listener for the items that routers write. */
-    ViewListener createRouterListener(String ownId, LeaseDuty lease, ControllerLink controller) {
-        return new RouterListener(ownId, lease, controller, servingEvents, readiness);
+    ViewListener createRouterListener(String ownId, LeaseDuty lease, ControllerLink controller, LossDuty losses) {
+        return new RouterListener(ownId, lease, controller, servingEvents, readiness, losses);
     }
 }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/RouterListener.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/RouterListener.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import org.daisyscale.core.following.ViewListener;
 import org.daisyscale.core.platform.CoordinationStore.Item;
+import org.daisyscale.core.serving.LossRecord;
 import org.daisyscale.core.serving.ServingEvent;
 import org.daisyscale.router.internal.json.Json;
 import org.daisyscale.router.internal.log.EventLog;
@@ -18,6 +19,7 @@
     private final ControllerLink controller;
     private final Consumer<ServingEvent> servingEvents;
     private final Readiness readiness;
+    private final LossDuty losses;
     private final Set<String> routerIds = new HashSet<>();
     private final Map<String, Double> coresByRouter = new HashMap<>();
     private boolean isControlled;
@@ -29,17 +31,23 @@
             LeaseDuty lease,
             ControllerLink controller,
             Consumer<ServingEvent> servingEvents,
-            Readiness readiness) {
+            Readiness readiness,
+            LossDuty losses) {
         this.ownId = ownId;
         this.lease = lease;
         this.controller = controller;
         this.servingEvents = servingEvents;
         this.readiness = readiness;
+        this.losses = losses;
         routerIds.add(ownId);
     }
 
     @Override
     public void onWritten(Item item, long maxAgeMillis) {
+        if (item.key().startsWith(StoreKeys.LOSSES)) {
+            readLosses(item);
+            return;
+        }
         if (item.key().startsWith(StoreKeys.ROUTERS)) {
             addRouter(item);
         } else if (item.key().equals(StoreKeys.CONTROLLER)) {
@@ -57,6 +65,12 @@
         lease.recordStoreState(isControlled, !hasSecret);
     }
 
+    private void readLosses(Item item) {
+        losses.recordRevision(item);
+        LossRecord read = StoredLosses.read(item.value()).toRecord(System.currentTimeMillis());
+        servingEvents.accept(new ServingEvent.LossesRead(read));
+    }
+
     private void addRouter(Item item) {
         routerIds.add(item.key().substring(StoreKeys.ROUTERS.length()));
         RouterEntry entry = Json.read(item.value(), RouterEntry.class);
@@ -67,6 +81,7 @@
 
     @Override
     public void onRemoved(String key) {
+        losses.recordRemoved(key);
         if (key.startsWith(StoreKeys.ROUTERS)) {
             String routerId = key.substring(StoreKeys.ROUTERS.length());
             routerIds.remove(routerId);
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -14,6 +14,7 @@
 import org.daisyscale.core.platform.CoordinationStore;
 import org.daisyscale.core.quota.QuotaEvent;
 import org.daisyscale.core.quota.QuotaLedger;
+import org.daisyscale.core.serving.LossRecord;
 import org.daisyscale.core.serving.RequestRouter;
 import org.daisyscale.core.serving.ServingEvent;
 import org.daisyscale.router.internal.assembly.StopSignal;
@@ -42,6 +43,9 @@
     /** Capacity of the ring of each duty that follows the store; a lost event is made up for, see ViewFollower. */
     private static final int FOLLOW_RING_CAPACITY = 256;
 
+    /** Capacity of the ring of the losses to be stored; they are bounded per time, and routers tell each other. */
+    private static final int LOSS_RING_CAPACITY = 64;
+
     /**
      * How long the balancer may still send new connections after this router stops being ready, in milliseconds: two
      * health checks.
@@ -69,6 +73,7 @@
     private final Ring<KeyEvent> keyEvents = new ArrayRing<>("keys", RING_CAPACITY);
     private final Ring<QuotaEvent> quotaEvents = new ArrayRing<>("allowances", RING_CAPACITY);
     private final Ring<KeyAction> mapActions = new ArrayRing<>("key-maps", RING_CAPACITY);
+    private final Ring<LossRecord> losses = new ArrayRing<>("losses", LOSS_RING_CAPACITY);
 
     /** Creates the assembly without starting it. */
     public ServingAssembly(ServingRouterSettings settings, PlatformDialect dialect) {
@@ -108,13 +113,15 @@
             FleetListeners listeners =
                     new FleetListeners(dialect.fleet(), fleetEvents(), blockingPut(keyEvents), readiness);
             QuotaLink quotas = createQuotaLink(controller);
+            LossDuty lossDuty = new LossDuty(store, losses, System::nanoTime, System::currentTimeMillis);
             try (DutyThread decisions =
                             DutyThread.start("decisions", createServingDuty(loop, controller, quotas)::runStep);
                     DutyThread allowances = DutyThread.start("allowances", createQuotaDuty(quotas)::runStep);
                     DutyThread keys = DutyThread.start("keys", createKeyDuty(loop, controller)::runStep);
                     FollowedPrefix operators = followOperators(store, controller, listeners);
                     FollowedPrefix servers = followServers(store, controller, listeners);
-                    FollowedPrefix routers = followRouters(listing, controller, listeners, lease);
+                    FollowedPrefix routers = followRouters(listing, controller, listeners, lease, lossDuty);
+                    DutyThread lossRecords = DutyThread.start("losses", lossDuty::runStep);
                     DutyThread leases = DutyThread.start("lease", lease::runStep);
                     DutyThread keyMapPolls = DutyThread.start("key-map-polls", polls::runStep);
                     DutyThread maps = DutyThread.start(
@@ -201,6 +208,7 @@
                 healthChecks,
                 controller::report,
                 controller::share,
+                this::offerLosses,
                 quotas::report,
                 EventLog::info,
                 metrics);
@@ -224,9 +232,13 @@
     }
 
     private FollowedPrefix followRouters(
-            CoordinationStore store, ControllerLink controller, FleetListeners listeners, LeaseDuty lease) {
+            CoordinationStore store,
+            ControllerLink controller,
+            FleetListeners listeners,
+            LeaseDuty lease,
+            LossDuty lossDuty) {
         ViewListener listener =
-                listeners.createRouterListener(settings.serving().routerId(), lease, controller);
+                listeners.createRouterListener(settings.serving().routerId(), lease, controller, lossDuty);
         ItemView view = new ItemView(StoreKeys.PREFIX, new ItemFailureListener(listener));
         return follow(store, StoreKeys.PREFIX, controller, view, false, listeners::confirmRouters);
     }
@@ -306,6 +318,12 @@
         EventLog.info("stopped", "openRequests=" + exchanges.size() + " connections=" + connections.size());
     }
 
+    private void offerLosses(LossRecord record) {
+        if (!losses.offer(record)) {
+            metrics.ringFull(losses.name());
+        }
+    }
+
     /** Tells the decisions that the configuration was complete at {@code nanos}, unless their ring is full. */
     private void offerConfirmation(long nanos) {
         if (!servingEvents.offer(new ServingEvent.ConfigurationConfirmed(nanos))) {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingDuty.java
@@ -6,6 +6,7 @@
 import org.daisyscale.core.quota.QuotaReport;
 import org.daisyscale.core.serving.AttemptOutcome;
 import org.daisyscale.core.serving.FleetNews;
+import org.daisyscale.core.serving.LossRecord;
 import org.daisyscale.core.serving.RequestRouter;
 import org.daisyscale.core.serving.ServingAction;
 import org.daisyscale.core.serving.ServingEvent;
@@ -23,6 +24,7 @@
     private final HealthCheckSender healthChecks;
     private final Consumer<KeyLoad> keyLoads;
     private final Consumer<FleetNews> news;
+    private final Consumer<LossRecord> losses;
     private final Consumer<QuotaReport> quotaReports;
     private final EventReporter log;
     private final ServingMetrics metrics;
@@ -36,6 +38,7 @@
             HealthCheckSender healthChecks,
             Consumer<KeyLoad> keyLoads,
             Consumer<FleetNews> news,
+            Consumer<LossRecord> losses,
             Consumer<QuotaReport> quotaReports,
             EventReporter log,
             ServingMetrics metrics) {
@@ -46,6 +49,7 @@
         this.healthChecks = healthChecks;
         this.keyLoads = keyLoads;
         this.news = news;
+        this.losses = losses;
         this.quotaReports = quotaReports;
         this.log = log;
         this.metrics = metrics;
@@ -114,6 +118,8 @@
             keyLoads.accept(report.load());
         } else if (action instanceof ServingAction.ShareNews share) {
             news.accept(share.news());
+        } else if (action instanceof ServingAction.StoreLosses stored) {
+            losses.accept(stored.losses());
         } else if (action instanceof ServingAction.ReportQuota report) {
             quotaReports.accept(report.report());
         } else if (action instanceof ServingAction.PublishCounts publish) {
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/LeasedStore.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/LeasedStore.java
@@ -10,6 +10,7 @@
 import java.util.function.BooleanSupplier;
 import org.daisyscale.core.platform.CoordinationStore;
 import org.daisyscale.core.platform.WriteOutcome;
+import org.daisyscale.router.serving.StoreException;
 
 /** An in-memory store whose leases end only when they are ended explicitly. Not thread-safe; confined to one thread. */
 final class LeasedStore implements CoordinationStore {
@@ -21,6 +22,12 @@
     private long lastLease;
     private long era;
     private int callCount;
+    private boolean isReachable = true;
+
+    /** Makes all writes fail until it is set to true again. */
+    void setReachable(boolean newIsReachable) {
+        isReachable = newIsReachable;
+    }
 
     /** Makes each renewal run {@code action} first. */
     void onRenewal(Runnable action) {
@@ -61,6 +68,12 @@
     @Override
     public WriteResult write(Change change) {
         callCount++;
+        if (!isReachable) {
+            throw new StoreException(StoreException.Code.UNREACHABLE, "the store is unreachable", null);
+        }
+        if (change.leaseId() != 0 && !leases.contains(change.leaseId())) {
+            return new WriteResult(WriteOutcome.REFUSED, 0);
+        }
         long found = get(change.key()).map(Item::revision).orElse(0L);
         if (found != change.expectedRevision()) {
             return new WriteResult(WriteOutcome.REFUSED, 0);
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ServingDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ServingDutyTest.java
@@ -31,6 +31,7 @@
                 new HealthCheckSender(null, null, event -> {}),
                 load -> {},
                 news -> {},
+                losses -> {},
                 report -> {},
                 (event, detail) -> lines.add(event + " " + detail),
                 metrics);
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/UncertainRouteReplyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/UncertainRouteReplyTest.java
@@ -55,6 +55,7 @@
                 new HealthCheckSender(null, null, event -> {}),
                 load -> {},
                 news -> {},
+                losses -> {},
                 report -> {},
                 (event, detail) -> lines.add(event + " " + detail),
                 metrics);
