--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/HoldLedger.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/HoldLedger.java
@@ -29,6 +29,8 @@
     /** How long after the connection was reset a grant may still arrive, in milliseconds: links may delay bytes. */
     private static final long MAX_TRANSIT_MILLIS = 250;
 
+    /** How long a call may wait until it is sent, and then for its answer, in milliseconds. */
+    private static final long MAX_CALL_MILLIS = 750;
     /** Stands for the fences of earlier controllers, all of which are lower than those of this controller. */
     private static final long FENCE_OF_OTHERS = 0;
 
@@ -152,6 +154,11 @@
                 .anyMatch(hold -> hold.isInFlight || (hold.lateness != Lateness.EXCLUDED && !hold.isOver(nowNanos)));
     }
 
+    /** Returns for how long a grant that is about to be sent may take effect without an answer, in milliseconds. */
+    static long maxLateMillis(long holdMillis) {
+        return (long) (holdMillis * CLOCK_DRIFT_FACTOR) + MAX_TRANSIT_MILLIS + MAX_CALL_MILLIS;
+    }
+
     /** Returns for how long a grant of any key of {@code range} to {@code owner} may take effect, in milliseconds. */
     long lateMillis(Owner owner, KeyAssignment range, long nowNanos) {
         return holds(owner, range)
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LostOwnerStep.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LostOwnerStep.java
@@ -35,7 +35,9 @@
             int lastKey = pieceEnd(
                     rest, loads.evenUtilization() * loads.weightedCapacity(newOwner) * MAX_PIECE_FRACTION, context);
             KeyAssignment piece = rest.withKeys(rest.firstKey(), lastKey);
-            draft.move(rest, piece.firstKey(), lastKey, newOwner);
+            if (!draft.move(rest, piece.firstKey(), lastKey, newOwner)) {
+                return;
+            }
             loads.add(newOwner, loads.rate(piece));
             rest = lastKey < rest.lastKey() ? rest.withKeys(lastKey + 1, rest.lastKey()) : null;
         }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/MapDraft.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/MapDraft.java
@@ -63,15 +63,16 @@
     }
 
     /**
-     * Moves the keys from {@code firstKey} to {@code lastKey} of {@code assignment} to {@code owner}, or postpones the
-     * move until the present owner has answered.
+     * Moves the keys from {@code firstKey} to {@code lastKey} of {@code assignment} to {@code owner}. Returns false if
+     * the move is postponed until the present owner has answered.
      */
-    void move(KeyAssignment assignment, int firstKey, int lastKey, Owner owner) {
+    boolean move(KeyAssignment assignment, int firstKey, int lastKey, Owner owner) {
         if (!guard.mayMove(assignment)) {
             hasPostponedMoves = true;
-            return;
+            return false;
         }
         renew(assignment, firstKey, lastKey, owner, guard.lateGrantMillis(assignment));
+        return true;
     }
 
     /** Gives {@code assignment} a higher fence. */
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/RangeCallCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/RangeCallCoordinator.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.daisyscale.core.keys.KeyAction;
 import org.daisyscale.core.serving.KeyAssignment;
 import org.daisyscale.core.serving.KeyAssignment.Owner;
@@ -31,6 +32,8 @@
      * packet is retransmitted by then.
      */
     private static final long RETRY_MILLIS = 300;
+    /** For how long a planned move postpones the renewal of its range, in milliseconds: until the next plan. */
+    private static final long POSTPONEMENT_MILLIS = 100;
     /** Fences begin at 1. */
     private static final long NO_FENCE = 0;
 
@@ -73,9 +76,18 @@
 
     /** Asks the owner for a proof that no earlier grant of {@code range}, whole or in part, may take effect late. */
     void requestProof(KeyAssignment range) {
-        stateByRange.entrySet().stream()
+        statesContaining(range).forEach(state -> state.isProofWanted = true);
+    }
+
+    /** Postpones the renewal of the grant of {@code range}, whole or in part, since the range is about to move. */
+    void postponeRenewal(KeyAssignment range, long nowNanos) {
+        statesContaining(range).forEach(state -> state.renewAfterNanos = nowNanos + POSTPONEMENT_MILLIS * 1_000_000L);
+    }
+
+    private Stream<RangeState> statesContaining(KeyAssignment range) {
+        return stateByRange.entrySet().stream()
                 .filter(entry -> covers(entry.getKey(), range))
-                .forEach(entry -> entry.getValue().isProofWanted = true);
+                .map(Map.Entry::getValue);
     }
 
     /** Keeps the state of ranges that {@code map} keeps, whole or in part; discards that of all others. */
@@ -128,7 +140,7 @@
         if (!isReleased) {
             return;
         }
-        if (state.isProofWanted && !fences.isEmpty()) {
+        if (state.isProofWanted && nowNanos - state.proofDueNanos >= 0 && !fences.isEmpty()) {
             state.isProofWanted = false;
             state.fence = NO_FENCE;
             grant(assignment, PendingCall.Kind.PROOF, terms, state, actions, nowNanos);
@@ -140,7 +152,8 @@
 
     private boolean isGrantDue(KeyAssignment assignment, RangeState state, long nowNanos) {
         boolean hasFence = state.fence != NO_FENCE || !fences.isEmpty();
-        return hasFence && nowNanos - state.grantDueNanos >= 0 && registry.mayOwn(assignment.owner());
+        long dueNanos = Math.max(state.grantDueNanos, state.renewAfterNanos);
+        return hasFence && nowNanos - dueNanos >= 0 && registry.mayOwn(assignment.owner());
     }
 
     /**
@@ -269,6 +282,7 @@
             endCall(call, callId).filter(state -> call.isGrant()).ifPresent(state -> {
                 state.fence = NO_FENCE;
                 state.grantDueNanos = nowNanos + RETRY_MILLIS * 1_000_000L;
+                state.proofDueNanos = state.grantDueNanos;
             });
         });
     }
@@ -350,6 +364,8 @@
         private long fence = NO_FENCE;
         private long grantCallId;
         private long grantDueNanos = Long.MIN_VALUE / 2;
+        private long proofDueNanos = Long.MIN_VALUE / 2;
+        private long renewAfterNanos = Long.MIN_VALUE / 2;
         private boolean isGranted;
         private boolean isFenceTooLow;
         private boolean isProofWanted;
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServiceKeyCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServiceKeyCoordinator.java
@@ -216,7 +216,7 @@
         }
         isMapComplete = true;
         if (pendingMap == null) {
-            plan(nowNanos).ifPresent(next -> {
+            plan(terms, nowNanos).ifPresent(next -> {
                 pendingMap = next;
                 lastWriteNanos = nowNanos;
                 actions.add(new KeyAction.WriteMap(next, revision));
@@ -224,7 +224,7 @@
         }
         if (map != null) {
             rangesKeptByPendingWrite().forEach(assignment -> calls.makeDueCalls(assignment, terms, actions, nowNanos));
-            publish(actions, nowNanos);
+            publish(terms, actions, nowNanos);
         }
     }
 
@@ -249,7 +249,7 @@
     }
 
     /** Publishes the ranges whose owners accepted their grants; the next write stores them. */
-    private void publish(List<KeyAction> actions, long nowNanos) {
+    private void publish(CallTerms terms, List<KeyAction> actions, long nowNanos) {
         boolean isNewVersion = publishedMap == null || publishedMap.version() != map.version();
         List<KeyAssignment> granted = map.assignments().stream()
                 .filter(assignment -> !assignment.isSettled() && calls.isGranted(assignment))
@@ -257,7 +257,7 @@
         if (!isNewVersion && granted.isEmpty()) {
             return;
         }
-        MapDraft draft = new MapDraft(map, history.era(), moveGuard(nowNanos));
+        MapDraft draft = new MapDraft(map, history.era(), moveGuard(terms, nowNanos));
         granted.forEach(draft::settle);
         KeyMap next = draft.toProgress(isNewVersion ? 0 : publishedMap.progress() + 1);
         if (isNewVersion || !next.assignments().equals(publishedMap.assignments())) {
@@ -266,20 +266,20 @@
         }
     }
 
-    private Optional<KeyMap> plan(long nowNanos) {
+    private Optional<KeyMap> plan(CallTerms terms, long nowNanos) {
         List<BackendServer> usable = registry.usable(service);
         if (map == null) {
             return usable.isEmpty() ? Optional.empty() : Optional.of(initialMap(usable));
         }
-        MapDraft draft = draft(usable, nowNanos);
+        MapDraft draft = draft(usable, terms, nowNanos);
         boolean isDue = draft.isUrgent() || isSinceLastWrite(SETTLE_DELAY_MILLIS, nowNanos);
         boolean isWaiting = isWaitingForOwners(draft, nowNanos) && !fences.isLow();
         return draft.isChanged() && isDue && !isWaiting ? Optional.of(draft.toMap()) : Optional.empty();
     }
 
-    private MapDraft draft(List<BackendServer> usable, long nowNanos) {
+    private MapDraft draft(List<BackendServer> usable, CallTerms terms, long nowNanos) {
         PlanContext context = new PlanContext(usable, warm(usable, nowNanos), load, registry, owners, calls, nowNanos);
-        MapDraft draft = new MapDraft(map, history.era(), moveGuard(nowNanos));
+        MapDraft draft = new MapDraft(map, history.era(), moveGuard(terms, nowNanos));
         if (fences.isLow()) {
             draft.reserveFences();
         }
@@ -297,8 +297,9 @@
         return draft;
     }
 
-    private MoveGuard moveGuard(long nowNanos) {
-        return new OwnerMoveGuard(registry, owners, holds, calls::requestProof, nowNanos);
+    private MoveGuard moveGuard(CallTerms terms, long nowNanos) {
+        long proofMillis = HoldLedger.maxLateMillis(terms.holdMillis());
+        return new OwnerMoveGuard(registry, owners, holds, calls, proofMillis, nowNanos);
     }
 
     /** Returns whether the draft should be planned again shortly, when more owners have answered. */
@@ -311,8 +312,9 @@
             hasPostponedMoves = true;
             postponedSinceNanos = nowNanos;
         }
-        balanceDueNanos = nowNanos;
-        return nowNanos - postponedSinceNanos < POSTPONED_MOVES_MILLIS * 1_000_000L;
+        boolean isWaiting = nowNanos - postponedSinceNanos < POSTPONED_MOVES_MILLIS * 1_000_000L;
+        balanceDueNanos = isWaiting ? nowNanos : balanceDueNanos;
+        return isWaiting;
     }
 
     private boolean isSinceLastWrite(long millis, long nowNanos) {
