--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/RangeCallCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/RangeCallCoordinator.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import org.daisyscale.core.keys.KeyAction;
 import org.daisyscale.core.serving.KeyAssignment;
 import org.daisyscale.core.serving.KeyAssignment.Owner;
@@ -76,18 +75,20 @@
 
     /** Asks the owner for a proof that no earlier grant of {@code range}, whole or in part, may take effect late. */
     void requestProof(KeyAssignment range) {
-        statesContaining(range).forEach(state -> state.isProofWanted = true);
+        stateContaining(range).ifPresent(state -> state.isProofWanted = true);
     }
 
     /** Postpones the renewal of the grant of {@code range}, whole or in part, since the range is about to move. */
     void postponeRenewal(KeyAssignment range, long nowNanos) {
-        statesContaining(range).forEach(state -> state.renewAfterNanos = nowNanos + POSTPONEMENT_MILLIS * 1_000_000L);
+        stateContaining(range).ifPresent(state -> state.renewAfterNanos = nowNanos + POSTPONEMENT_MILLIS * 1_000_000L);
     }
 
-    private Stream<RangeState> statesContaining(KeyAssignment range) {
-        return stateByRange.entrySet().stream()
-                .filter(entry -> covers(entry.getKey(), range))
-                .map(Map.Entry::getValue);
+    private Optional<RangeState> stateContaining(KeyAssignment range) {
+        return Optional.ofNullable(stateByRange.get(range))
+                .or(() -> stateByRange.entrySet().stream()
+                        .filter(entry -> covers(entry.getKey(), range))
+                        .map(Map.Entry::getValue)
+                        .findFirst());
     }
 
     /** Keeps the state of ranges that {@code map} keeps, whole or in part; discards that of all others. */
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/LossStorage.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/LossStorage.java
@@ -7,8 +7,8 @@
  * Decides which losses of requests are stored, so that routers know them which start later or could not be told.
  *
  * <p>Invariants: a request that was lost with two servers is stored at once. A first loss is stored after a delay, in
- * which most requests are answered by another server. Each router stores a limited number; first losses are the first
- * to be left out.
+ * which most requests are answered by another server, and not while many requests are lost together, since no single
+ * one is the cause then. Each router stores a limited number; first losses are the first to be left out.
  *
  * <p>Not thread-safe; confined to the core thread.
  */
@@ -18,9 +18,11 @@
     /** The window of the limits: the time after which stored losses are removed, in nanoseconds. */
     private static final long WINDOW_NANOS = RequestLosses.RETENTION_MILLIS * 1_000_000L;
 
-    private static final int MAX_FIRST_LOSSES = 20;
+    private static final int MAX_FIRST_LOSSES = 10;
+    private static final int MAX_FIRST_LOSSES_PER_SECOND = 2;
     private static final int MAX_REPEATED_LOSSES = 60;
 
+    private final SlidingWindowCounter recentFirstLosses = new SlidingWindowCounter(1_000_000_000L);
     private final SlidingWindowCounter firstLosses = new SlidingWindowCounter(WINDOW_NANOS);
     private final SlidingWindowCounter repeatedLosses = new SlidingWindowCounter(WINDOW_NANOS);
     private final Deque<DelayedLoss> delayedLosses = new ArrayDeque<>();
@@ -32,7 +34,8 @@
 
     /** Returns whether a request that was lost with one server may be stored, and counts it. */
     boolean tryStoreFirst(long nowNanos) {
-        return tryCount(firstLosses, MAX_FIRST_LOSSES, nowNanos);
+        return recentFirstLosses.count(nowNanos) <= MAX_FIRST_LOSSES_PER_SECOND
+                && tryCount(firstLosses, MAX_FIRST_LOSSES, nowNanos);
     }
 
     private static boolean tryCount(SlidingWindowCounter counter, int limit, long nowNanos) {
@@ -45,6 +48,7 @@
 
     /** Has the first loss of a request stored later, unless too many wait already. */
     void delayFirst(long fingerprint, long nowNanos) {
+        recentFirstLosses.add(nowNanos);
         if (delayedLosses.size() < MAX_FIRST_LOSSES) {
             delayedLosses.add(new DelayedLoss(fingerprint, nowNanos + FIRST_LOSS_DELAY_NANOS));
         }
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/CrashingRequestTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/CrashingRequestTest.java
@@ -290,7 +290,10 @@
             registerServers();
             stored += stored(send(routers.get(0), HARMLESS + index, AttemptOutcome.LOST))
                     .size();
+            sendOnce(CRASHING + index, AttemptOutcome.LOST);
         }
+        nowNanos += 600 * MILLI;
+        stored += stored(handle(routers.get(0), new ServingEvent.TimePassed())).size();
 
         assertThat(stored).isLessThanOrEqualTo(60);
     }
