--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestLosses.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestLosses.java
@@ -53,10 +53,11 @@
 
     /** Adds what the store has about the request. */
     void merge(LossRecord stored, long nowNanos) {
+        long storedNanos = nowNanos - stored.ageMillis() * NANOS_PER_MILLI;
+        boolean isNewer = servers.isEmpty() || storedNanos - lastNanos > 0;
+        lastNanos = isNewer ? storedNanos : lastNanos;
         stored.servers().stream().limit(PAUSING_LOSSES).forEach(servers::add);
         tries = Math.max(tries, stored.tries());
-        long storedNanos = nowNanos - stored.ageMillis() * NANOS_PER_MILLI;
-        lastNanos = storedNanos - lastNanos > 0 ? storedNanos : lastNanos;
         isStored = true;
     }
 
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/CrashingRequestTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/CrashingRequestTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.daisyscale.core.error.CoreErrorCode;
 import org.daisyscale.core.peer.PeerMessage;
 import org.junit.jupiter.api.BeforeEach;
@@ -207,6 +208,18 @@
         assertThat(attempts(send(started, CRASHING, AttemptOutcome.LOST))).isZero();
     }
 
+    @Test
+    void shouldCountThePauseFromTheLastLossAndNotFromTheStartOfTheRouter() {
+        List<LossRecord.LostServer> lost = Stream.of("s0", "s1", "s2")
+                .map(id -> new LossRecord.LostServer(id, 7))
+                .toList();
+        RequestRouter started = startRouter(new LossRecord(HARMLESS, lost, 0, 9_900));
+
+        assertThat(attempts(send(started, HARMLESS, AttemptOutcome.ANSWERED))).isZero();
+        nowNanos += 100 * MILLI;
+        assertThat(attempts(send(started, HARMLESS, AttemptOutcome.ANSWERED))).isEqualTo(1);
+    }
+
     @Test
     void shouldStoreTheFirstLossOfARequestUnlessAServerAnswersItShortlyAfterwards() {
         send(routers.get(0), HARMLESS, AttemptOutcome.ANSWERED);
