--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/LossDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/LossDuty.java
@@ -1,5 +1,6 @@
 package org.daisyscale.router.internal.serving;
 
+import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -31,9 +32,10 @@
 
     private static final long NEW_LEASE_AFTER_NANOS = TIME_TO_LIVE.toNanos() / 2;
     private static final Duration MAX_WAIT = Duration.ofSeconds(1);
-    private static final Duration RETRY_DELAY = Duration.ofMillis(500);
-    /** Longest delay before a failed write is repeated: refused calls cost as much as others. */
-    private static final Duration MAX_RETRY_DELAY = Duration.ofSeconds(4);
+    /** Delay after the second failure in a row, in milliseconds. The first may be another router's write in between. */
+    private static final long RETRY_DELAY_MILLIS = 500;
+    /** Limit of the doublings of the delay: refused calls cost as much as others. */
+    private static final int MAX_DOUBLINGS = 3;
 
     private static final int MAX_WAITING = 64;
     private static final long NO_LEASE = 0;
@@ -44,7 +46,7 @@
     private final LongSupplier clockEpochMillis;
     private final Map<Long, StoredLosses> waiting = new LinkedHashMap<>();
     private final Map<String, Long> revisionByKey = new ConcurrentHashMap<>();
-    private Duration retryDelay = RETRY_DELAY;
+    private int failureCount;
     private long lease = NO_LEASE;
     private long leaseEra;
     private long leaseNanos;
@@ -66,22 +68,26 @@
         revisionByKey.remove(key);
     }
 
-    /** Waits for losses and writes those of one request. */
+    /** Waits for losses and writes those of one request. After repeated failures the next write waits. */
     void runStep() throws InterruptedException {
         Duration wait = waiting.isEmpty() ? MAX_WAIT : Duration.ZERO;
         losses.poll(wait).ifPresent(this::add);
         if (waiting.isEmpty()) {
             return;
         }
-        StoredLosses next = waiting.values().iterator().next();
+        failureCount = tryWrite(waiting.values().iterator().next()) ? 0 : failureCount + 1;
+        if (failureCount > 1) {
+            long delayMillis = RETRY_DELAY_MILLIS << Math.min(failureCount - 2, MAX_DOUBLINGS);
+            Thread.sleep(delayMillis);
+        }
+    }
+
+    private boolean tryWrite(StoredLosses next) {
         try {
-            write(next);
-            retryDelay = RETRY_DELAY;
+            return write(next);
         } catch (StoreException e) {
             EventLog.info("losses-not-stored", "waiting=" + waiting.size() + " reason=" + e.detail());
-            Thread.sleep(retryDelay.toMillis());
-            retryDelay = retryDelay.multipliedBy(2);
-            retryDelay = retryDelay.compareTo(MAX_RETRY_DELAY) > 0 ? MAX_RETRY_DELAY : retryDelay;
+            return false;
         }
     }
 
@@ -93,7 +99,8 @@
         }
     }
 
-    private void write(StoredLosses next) {
+    /** Returns whether the store has the losses now. */
+    private boolean write(StoredLosses next) {
         String key = StoreKeys.losses(next.fingerprint());
         long expectedRevision = revisionByKey.getOrDefault(key, 0L);
         WriteResult result = store.write(new Change(key, expectedRevision, next.write(), lease()));
@@ -104,9 +111,10 @@
         if (result.outcome() == WriteOutcome.ACCEPTED) {
             revisionByKey.merge(key, result.revision(), Math::max);
             waiting.remove(next.fingerprint());
-        } else {
-            readAgain(key, next, expectedRevision);
+            return true;
         }
+        readAgain(key, next, expectedRevision);
+        return false;
     }
 
     /** Reads what another router may have written; if the store has what was expected, the lease has ended. */
@@ -117,13 +125,21 @@
         }
         if (found.isPresent()) {
             revisionByKey.put(key, found.get().revision());
-            waiting.put(
-                    next.fingerprint(), next.merge(StoredLosses.read(found.get().value())));
+            waiting.put(next.fingerprint(), read(found.get()).map(next::merge).orElse(next));
         } else {
             revisionByKey.remove(key);
         }
     }
 
+    private static Optional<StoredLosses> read(Item item) {
+        try {
+            return Optional.of(StoredLosses.read(item.value()));
+        } catch (UncheckedIOException e) {
+            EventLog.warn("losses-unreadable", "key=" + item.key() + ": the item is replaced");
+            return Optional.empty();
+        }
+    }
+
     private long lease() {
         long nowNanos = clockNanos.getAsLong();
         boolean isUsable =
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/LossDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/LossDutyTest.java
@@ -86,4 +86,14 @@
 
         assertThat(stored().isAnswered()).isTrue();
     }
+
+    @Test
+    void shouldReplaceAnItemThatItCannotRead() throws Exception {
+        store.write(new Change(KEY, 0, new byte[] {'?'}, 0));
+
+        write(record("s1", "s2"));
+        duty.runStep();
+
+        assertThat(stored().servers()).hasSize(2);
+    }
 }
