--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/DirectRequestRouter.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/DirectRequestRouter.java
@@ -61,6 +61,7 @@
             fleet.servers().remove(removed.serverId(), nowNanos);
         } else if (event instanceof ServingEvent.EvacuationsChanged changed) {
             fleet.servers().replaceEvacuations(changed.dataCentres(), this::coldStartNanos, nowNanos);
+            coordinator.handleEvacuations(changed.dataCentres(), nowNanos);
         } else if (event instanceof ServingEvent.KeyMapChanged changed) {
             applyKeyMap(changed, nowNanos);
         } else {
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/RequestCoordinator.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.LongStream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.daisyscale.core.error.CoreErrorCode;
@@ -121,6 +122,11 @@
         actions.add(new ServingAction.Report("configuration-in-force", detail));
     }
 
+    /** Reports that {@code dataCentres} are the evacuated ones from now on. */
+    void handleEvacuations(Set<String> dataCentres, long nowNanos) {
+        actions.add(EvacuationReports.create(dataCentres, openById.values(), fleet, nowNanos));
+    }
+
     void handleArrival(ServingEvent.RequestArrived arrived, long nowNanos) {
         ArrivalCheck check = arrivalChecks.check(arrived, nowNanos);
         if (check instanceof ArrivalCheck.Accepted accepted) {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingAssembly.java
@@ -66,7 +66,7 @@
     private final PlatformDialect dialect;
     private final MemoryShares memory;
     private final ServingMetrics metrics = new ServingMetrics();
-    private final Readiness readiness = new Readiness();
+    private final Readiness readiness = new Readiness(metrics.startTimes());
     private final ExchangeRegistry exchanges = new ExchangeRegistry();
     private final CallerConnections connections = new CallerConnections();
     private final Ring<ServingEvent> servingEvents = new ArrayRing<>("decisions", RING_CAPACITY);
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingDuty.java
@@ -71,6 +71,7 @@
             router.handle(new ServingEvent.Suspended(), System.nanoTime()).forEach(this::run);
         }
         router.handle(event, System.nanoTime()).forEach(this::run);
+        StartStep.of(event).ifPresent(metrics.startTimes()::mark);
         if (event instanceof ServingEvent.CallerLeft left) {
             exchanges.removeAbandoned(left.requestId());
         }
@@ -96,6 +97,7 @@
         if (action instanceof ServingAction.SendAttempt send) {
             Exchange exchange = exchanges.find(send.requestId());
             if (exchange != null) {
+                metrics.startTimes().mark(StartStep.FIRST_ATTEMPT);
                 attempts.send(exchange, send);
             }
         } else if (action instanceof ServingAction.CancelAttempt cancel) {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingMetrics.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingMetrics.java
@@ -32,6 +32,7 @@
     private final Counter controllerUpdates;
     private final Counter storeReads;
     private final OrganisationMetrics organisations = new OrganisationMetrics(registry);
+    private final StartTimes startTimes = new StartTimes();
     private final Counter storeCalls;
     private final Counter unreadResponses;
     private final AtomicLong configurationVersion = new AtomicLong();
@@ -73,6 +74,18 @@
                 .callback(callback -> viewAgeByPrefix.forEach(
                         (prefix, ageMillis) -> callback.call(ageMillis.getAsLong() / MILLIS_PER_SECOND, prefix)))
                 .register(registry);
+        GaugeWithCallback.builder()
+                .name("daisyscale_serving_start_seconds")
+                .help("Time from the start of the process until a step of the router's start was done")
+                .labelNames("step")
+                .callback(callback ->
+                        startTimes.forEach((step, millis) -> callback.call(millis / MILLIS_PER_SECOND, step.label())))
+                .register(registry);
+    }
+
+    /** Returns the times of the steps of this router's start. */
+    StartTimes startTimes() {
+        return startTimes;
     }
 
     /** Returns the metrics of the organisations' allowances. */
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ServingMetricsTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ServingMetricsTest.java
@@ -81,6 +81,26 @@
                         "daisyscale_serving_organisation_credit_age_seconds{organisation=\"bakers\"} 0.25");
     }
 
+    @Test
+    void shouldGiveTheTimeUntilTheFirstOccurrenceOfEachStepOfTheStart() {
+        metrics.startTimes().mark(StartStep.EVACUATIONS_KNOWN);
+        List<String> first = startSamples();
+
+        metrics.startTimes().mark(StartStep.EVACUATIONS_KNOWN);
+
+        assertThat(first)
+                .singleElement()
+                .asString()
+                .startsWith("daisyscale_serving_start_seconds{step=\"evacuations-known\"} ");
+        assertThat(startSamples()).isEqualTo(first);
+    }
+
+    private List<String> startSamples() {
+        return samples().stream()
+                .filter(sample -> sample.startsWith("daisyscale_serving_start_seconds"))
+                .toList();
+    }
+
     @Test
     void shouldListEveryMetricWithItsType() throws IOException {
         useEachMetric();
@@ -107,6 +127,7 @@
         metrics.registerCallerBytes(new ByteBudget(1));
         metrics.registerStoreEra(() -> 1);
         metrics.registerViewAge("op/", () -> 40);
+        metrics.startTimes().mark(StartStep.READY);
         metrics.registerOpenRequests(() -> 1);
         metrics.registerRingDepth(new ArrayRing<>("decisions", 4));
         metrics.registerRingDepth(new ArrayRing<>("keys", 4));
