--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ItemView.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ItemView.java
@@ -15,6 +15,7 @@
 import org.daisyscale.core.platform.CoordinationStore.ItemChange;
 import org.daisyscale.core.platform.CoordinationStore.Listing;
 import org.daisyscale.core.platform.EraRevision;
+import org.daisyscale.core.serving.EventTime;
 
 /**
  * A view of the items under one prefix. An item is only ever replaced by a newer version of it, and is removed only by
@@ -72,7 +73,7 @@
         }
         listing.items().stream()
                 .filter(item -> itemByKey.containsKey(item.key()) || !isRemovedAt(item.key(), listing.revision()))
-                .forEach(item -> write(item, circumstances.maxAgeMillis()));
+                .forEach(item -> write(item, circumstances.changedAt()));
         revision = listing.revision();
         if (isFirst) {
             removalsSinceRevision = revision;
@@ -104,7 +105,7 @@
             // The view may have been told meanwhile that an item of a late response is gone, or may lapse.
             boolean isNewer = known == null ? change.revision() > revision : change.revision() > known.revision();
             if (isNewer) {
-                write(change.item().get(), circumstances.maxAgeMillis());
+                write(change.item().get(), circumstances.changedAt());
             }
         } else if (known == null) {
             recordRemoval(change.key(), change.revision());
@@ -117,7 +118,7 @@
     }
 
     @Override
-    public UpdateResult applyUpdate(ViewUpdate update, String controllerId, long maxAgeMillis) {
+    public UpdateResult applyUpdate(ViewUpdate update, String controllerId, EventTime changedAt) {
         UpdateResult result = check(update);
         if (result == UpdateResult.APPLIED) {
             update.removedKeys().stream()
@@ -125,7 +126,7 @@
                     .forEach(key -> recordRemoval(key, update.version().revision()));
             keysRemovedBy(update)
                     .forEach(key -> removeTold(key, update.version().revision()));
-            update.written().forEach(item -> write(item, maxAgeMillis));
+            update.written().forEach(item -> write(item, changedAt));
             if (revision == 0) {
                 removalsSinceRevision = update.version().revision();
             }
@@ -233,12 +234,12 @@
         }
     }
 
-    private void publish(String key, long maxAgeMillis) {
+    private void publish(String key, EventTime changedAt) {
         Item item = itemByKey.get(key);
         if (item == null) {
             listener.onRemoved(key);
         } else {
-            listener.onWritten(item, maxAgeMillis);
+            listener.onWritten(item, changedAt);
         }
     }
 
@@ -260,7 +261,7 @@
         }
     }
 
-    private void write(Item item, long maxAgeMillis) {
+    private void write(Item item, EventTime changedAt) {
         Item known = itemByKey.get(item.key());
         lapsedKeys.remove(item.key());
         if (known != null && known.revision() >= item.revision()) {
@@ -274,9 +275,9 @@
         Long removedRevision = removedRevisionByKey.remove(item.key());
         long lastRevision = known != null ? known.revision() : removedRevision != null ? removedRevision : 0;
         boolean isHeldBack =
-                !listener.ignoresOlderVersions(item.key()) && restored.holdsBack(item, lastRevision, maxAgeMillis);
+                !listener.ignoresOlderVersions(item.key()) && restored.holdsBack(item, lastRevision, changedAt);
         if (!isHeldBack && !isRestoredUnchanged(known, item)) {
-            listener.onWritten(item, maxAgeMillis);
+            listener.onWritten(item, changedAt);
         }
     }
 
@@ -292,7 +293,7 @@
         Item known = itemByKey.get(key);
         if (known != null && RestoredItems.isOfOlderEra(known.revision(), removedRevision)) {
             forget(known, removedRevision);
-            restored.add(key, 0);
+            restored.add(key, EventTime.UNKNOWN);
         } else {
             remove(key, removedRevision);
         }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/RestoredItems.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/RestoredItems.java
@@ -4,14 +4,15 @@
 import java.util.Map;
 import org.daisyscale.core.platform.CoordinationStore.Item;
 import org.daisyscale.core.platform.EraRevision;
+import org.daisyscale.core.serving.EventTime;
 
 /**
  * The items that a restored store has in another version than before, and of which the listener of a view has not been
  * told, because they may be written again. Not thread-safe; confined to one thread.
  */
 final class RestoredItems {
-    /** The longest time since each item was written when it was read, in milliseconds. */
-    private final Map<String, Long> maxAgeMillisByKey = new LinkedHashMap<>();
+    /** When each item was written. */
+    private final Map<String, EventTime> writtenAtByKey = new LinkedHashMap<>();
 
     /** Returns whether {@code before} is a revision of an older era than {@code after}. */
     static boolean isOfOlderEra(long before, long after) {
@@ -25,12 +26,12 @@
      *
      * @param lastRevision the revision of the last known version or removal of the item; 0 if there is none
      */
-    boolean holdsBack(Item item, long lastRevision, long maxAgeMillis) {
+    boolean holdsBack(Item item, long lastRevision, EventTime writtenAt) {
         boolean isRestored = isOfOlderEra(lastRevision, item.revision()) && lastRevision > 0;
         boolean isOlder = isRestored && revisionInEra(item.revision()) < revisionInEra(lastRevision);
-        boolean wasHeldBack = maxAgeMillisByKey.remove(item.key()) != null;
+        boolean wasHeldBack = writtenAtByKey.remove(item.key()) != null;
         if (isOlder || (isRestored && wasHeldBack)) {
-            add(item.key(), maxAgeMillis);
+            add(item.key(), writtenAt);
             return true;
         }
         return false;
@@ -41,23 +42,23 @@
     }
 
     /** Adds an item that is missing, or the one that is there now. */
-    void add(String key, long maxAgeMillis) {
-        maxAgeMillisByKey.put(key, maxAgeMillis);
+    void add(String key, EventTime writtenAt) {
+        writtenAtByKey.put(key, writtenAt);
     }
 
     /** Removes the item because the listener is told of it; returns whether it was held back. */
     boolean remove(String key) {
-        return maxAgeMillisByKey.remove(key) != null;
+        return writtenAtByKey.remove(key) != null;
     }
 
     boolean isEmpty() {
-        return maxAgeMillisByKey.isEmpty();
+        return writtenAtByKey.isEmpty();
     }
 
-    /** Removes all items and returns their ages by key. */
-    Map<String, Long> removeAll() {
-        Map<String, Long> removed = new LinkedHashMap<>(maxAgeMillisByKey);
-        maxAgeMillisByKey.clear();
+    /** Removes all items and returns when they were written, by key. */
+    Map<String, EventTime> removeAll() {
+        Map<String, EventTime> removed = new LinkedHashMap<>(writtenAtByKey);
+        writtenAtByKey.clear();
         return removed;
     }
 }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewContents.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewContents.java
@@ -2,6 +2,7 @@
 
 import org.daisyscale.core.platform.CoordinationStore.Changes;
 import org.daisyscale.core.platform.CoordinationStore.Listing;
+import org.daisyscale.core.serving.EventTime;
 
 /**
  * What a view of one prefix holds. Implementations never go back: an older listing, watch or update changes nothing.
@@ -26,9 +27,9 @@
      * Applies an update of the controller if it leads to the version that it names; otherwise changes nothing.
      *
      * @param controllerId the router that sent the update
-     * @param maxAgeMillis the longest time since the changes in the update were made, in milliseconds
+     * @param changedAt when the changes in the update were made
      */
-    UpdateResult applyUpdate(ViewUpdate update, String controllerId, long maxAgeMillis);
+    UpdateResult applyUpdate(ViewUpdate update, String controllerId, EventTime changedAt);
 
     /** Records that the view lacks nothing up to {@code revision}, as the same items in a further view show. */
     void confirm(long revision);
--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewFollower.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewFollower.java
@@ -5,6 +5,7 @@
 import org.daisyscale.core.following.FollowStep.Holding;
 import org.daisyscale.core.following.ReadRequest.Kind;
 import org.daisyscale.core.following.ReadRequest.Reason;
+import org.daisyscale.core.serving.EventTime;
 
 /**
  * Decides how a router keeps its view of one prefix current: when it tells the controller what it holds, and when it
@@ -230,6 +231,11 @@
         return age.millis(nowNanos);
     }
 
+    /** Returns when a change that arrives now was made: not before the view was last known to lack nothing. */
+    public EventTime changedAt() {
+        return isKnown ? EventTime.notBefore(currentNanos()) : EventTime.UNKNOWN;
+    }
+
     /** Returns when the view was last known to lack nothing, by the monotonic clock. */
     public long currentNanos() {
         return age.currentNanos();
--- a/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewListener.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/following/ViewListener.java
@@ -1,6 +1,7 @@
 package org.daisyscale.core.following;
 
 import org.daisyscale.core.platform.CoordinationStore.Item;
+import org.daisyscale.core.serving.EventTime;
 
 /** Receives the changes of a view, on the thread that changes it. */
 public interface ViewListener {
@@ -13,8 +14,8 @@
         return false;
     }
 
-    /** Handles a new or changed item, which was written {@code maxAgeMillis} ago at most. */
-    void onWritten(Item item, long maxAgeMillis);
+    /** Handles a new or changed item, which was written at {@code writtenAt}. */
+    void onWritten(Item item, EventTime writtenAt);
 
     /** Handles the removal of the item at {@code key}. */
     void onRemoved(String key);
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/DirectRequestRouter.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/DirectRequestRouter.java
@@ -36,6 +36,7 @@
         } else if (event instanceof ServingEvent.QuotaGranted granted) {
             coordinator.handleGrant(granted.grant(), nowNanos);
         } else if (event instanceof ServingEvent.Suspended) {
+            fleet.handleSuspension();
             coordinator.handleSuspension(nowNanos);
         } else if (event instanceof ServingEvent.LossesRead read) {
             coordinator.handleLosses(read.losses(), nowNanos);
@@ -56,11 +57,11 @@
         } else if (event instanceof ServingEvent.ServersListed listed) {
             fleet.servers().replaceAll(listed.servers(), nowNanos);
         } else if (event instanceof ServingEvent.ServerChanged changed) {
-            fleet.servers().put(changed.server(), changed.maxAgeMillis(), nowNanos);
+            fleet.servers().put(changed.server(), changed.changedAt(), nowNanos);
         } else if (event instanceof ServingEvent.ServerRemoved removed) {
             fleet.servers().remove(removed.serverId(), nowNanos);
         } else if (event instanceof ServingEvent.EvacuationsChanged changed) {
-            fleet.servers().replaceEvacuations(changed.dataCentres(), this::coldStartNanos, nowNanos);
+            fleet.servers().replaceEvacuations(changed.evacuatedAtByDataCentre(), this::coldStartNanos, nowNanos);
             coordinator.handleEvacuations(changed.dataCentres(), nowNanos);
         } else if (event instanceof ServingEvent.KeyMapChanged changed) {
             applyKeyMap(changed, nowNanos);
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/FleetView.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/FleetView.java
@@ -75,6 +75,12 @@
         return table != null;
     }
 
+    /** Records that an unknown time has passed that the clock did not count. */
+    void handleSuspension() {
+        servers.handleSuspension();
+        notices.handleSuspension();
+    }
+
     RouteIndex routes() {
         return routes;
     }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/OwnerPlacer.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/OwnerPlacer.java
@@ -16,8 +16,11 @@
      * report may have been accepted; the rest covers the way to the server.
      */
     private static final double LEAVING_FRACTION = 0.7;
-    /** Fraction of the evacuation time during which owners there are still used, from the moment it is known here. */
-    private static final double EVACUATED_FRACTION = 0.5;
+    /**
+     * Fraction of the evacuation time during which owners there are still used, from the earliest moment at which the
+     * evacuation may have been acknowledged; the rest covers reports that are late and the way to the server.
+     */
+    private static final double EVACUATED_FRACTION = 0.7;
     /** Interval between attempts to place a request for a moving range, in milliseconds; a new key map comes first. */
     private static final long MOVING_RANGE_RECHECK_MILLIS = 60;
     /** Retry-after advice without an owner, in milliseconds; a lost owner's range is back within seconds. */
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/ServerNotices.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/ServerNotices.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import org.daisyscale.core.peer.PeerMessage;
 import org.daisyscale.core.serving.BackendServer;
+import org.daisyscale.core.serving.EventTime;
 import org.daisyscale.core.serving.FleetNews;
 import org.daisyscale.core.serving.ServerNotice;
 import org.daisyscale.core.serving.ServingAction;
@@ -91,12 +92,15 @@
         return announced != null && announced.isLeaving;
     }
 
-    /** Returns whether {@code server} announced {@code millis} ago or earlier that it leaves. */
+    /** Returns whether {@code server} may have announced {@code millis} ago or earlier that it leaves. */
     boolean isLeavingFor(BackendServer server, long millis, long nowNanos) {
         Announced announced = find(server);
-        return announced != null
-                && announced.isLeaving
-                && nowNanos - announced.leavingSinceNanos >= millis * 1_000_000L;
+        return announced != null && announced.isLeaving && announced.leavingSince.mayBePast(millis, nowNanos);
+    }
+
+    /** Records that an unknown time has passed that the clock did not count. */
+    void handleSuspension() {
+        announcedByIncarnation.values().forEach(announced -> announced.leavingSince = EventTime.UNKNOWN);
     }
 
     /** Returns how much longer {@code server} wants no requests, in milliseconds; 0 when it takes them. */
@@ -111,7 +115,7 @@
     /** What one incarnation announced. */
     private static final class Announced {
         private boolean isLeaving;
-        private long leavingSinceNanos;
+        private EventTime leavingSince = EventTime.UNKNOWN;
         private boolean isPaused;
         private long pausedUntilNanos;
         private String invalidHeaders = "";
@@ -121,7 +125,7 @@
             boolean isNew = !isLeaving;
             if (isNew) {
                 isLeaving = true;
-                leavingSinceNanos = nowNanos;
+                leavingSince = EventTime.notBefore(nowNanos);
             }
             return isNew;
         }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/ServerRegistry.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/ServerRegistry.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.daisyscale.core.serving.BackendServer;
+import org.daisyscale.core.serving.EventTime;
 
 /** Holds the known servers by id and by service. Not thread-safe; confined to the core thread. */
 final class ServerRegistry {
@@ -15,14 +16,14 @@
     private final Map<String, List<ServerView>> viewsByService = new HashMap<>();
     private final Map<String, ColdStartLimiter> removedLimiterById = new HashMap<>();
     private final Map<String, ServiceLevel> levelByService = new HashMap<>();
-    private final Map<String, Long> evacuatedSinceNanos = new HashMap<>();
+    private final Map<String, EventTime> evacuatedAtByDataCentre = new HashMap<>();
 
     /** Replaces all known servers by {@code servers}. */
     void replaceAll(List<BackendServer> servers, long nowNanos) {
         Set<String> listed = new HashSet<>();
         for (BackendServer server : servers) {
             listed.add(server.id());
-            put(server, 0, nowNanos);
+            put(server, EventTime.UNKNOWN, nowNanos);
         }
         List.copyOf(viewById.keySet()).stream()
                 .filter(id -> !listed.contains(id))
@@ -30,13 +31,13 @@
     }
 
     /**
-     * Adds or updates {@code server}, which may have changed {@code maxAgeMillis} ago; a new incarnation, endpoint or
-     * slot count replaces the view of the old one.
+     * Adds or updates {@code server}, which changed at {@code changedAt}; a new incarnation, endpoint or slot count
+     * replaces the view of the old one.
      */
-    void put(BackendServer server, long maxAgeMillis, long nowNanos) {
+    void put(BackendServer server, EventTime changedAt, long nowNanos) {
         ServerView known = viewById.get(server.id());
         if (known != null && known.server().isSameIncarnation(server) && isSameEndpoint(known.server(), server)) {
-            known.update(server, maxAgeMillis, nowNanos);
+            known.update(server, changedAt, nowNanos);
             return;
         }
         remove(server.id(), nowNanos);
@@ -79,28 +80,36 @@
         return viewsByService.getOrDefault(service, List.of());
     }
 
-    /** Replaces the set of evacuated data centres; servers of a data centre that is no longer evacuated become cold. */
-    void replaceEvacuations(Set<String> dataCentres, ColdStartDuration coldDuration, long nowNanos) {
-        for (String restored : List.copyOf(evacuatedSinceNanos.keySet())) {
-            if (!dataCentres.contains(restored)) {
-                evacuatedSinceNanos.remove(restored);
+    /** Replaces the evacuated data centres; servers of a data centre that is no longer evacuated become cold. */
+    void replaceEvacuations(
+            Map<String, EventTime> newEvacuatedAtByDataCentre, ColdStartDuration coldDuration, long nowNanos) {
+        for (String restored : List.copyOf(evacuatedAtByDataCentre.keySet())) {
+            if (!newEvacuatedAtByDataCentre.containsKey(restored)) {
+                evacuatedAtByDataCentre.remove(restored);
                 viewById.values().stream()
                         .filter(view -> view.server().dataCentre().equals(restored))
                         .forEach(view ->
                                 view.coldStartLimiter().markColdUntil(nowNanos + coldDuration.nanos(view.server())));
             }
         }
-        dataCentres.forEach(dataCentre -> evacuatedSinceNanos.putIfAbsent(dataCentre, nowNanos));
+        newEvacuatedAtByDataCentre.forEach((dataCentre, evacuatedAt) ->
+                evacuatedAtByDataCentre.merge(dataCentre, evacuatedAt, EventTime::earlier));
     }
 
     boolean isEvacuated(ServerView view) {
-        return evacuatedSinceNanos.containsKey(view.server().dataCentre());
+        return evacuatedAtByDataCentre.containsKey(view.server().dataCentre());
     }
 
-    /** Returns whether the server's data centre has been evacuated for {@code millis} or longer. */
+    /** Returns whether the server's data centre may have been evacuated for {@code millis} or longer. */
     boolean isEvacuatedFor(ServerView view, long millis, long nowNanos) {
-        Long since = evacuatedSinceNanos.get(view.server().dataCentre());
-        return since != null && nowNanos - since >= millis * 1_000_000L;
+        EventTime evacuatedAt = evacuatedAtByDataCentre.get(view.server().dataCentre());
+        return evacuatedAt != null && evacuatedAt.mayBePast(millis, nowNanos);
+    }
+
+    /** Records that an unknown time has passed that the clock did not count. */
+    void handleSuspension() {
+        evacuatedAtByDataCentre.replaceAll((dataCentre, evacuatedAt) -> EventTime.UNKNOWN);
+        viewById.values().forEach(ServerView::handleSuspension);
     }
 
     /** Determines how long a server is cold after the evacuation of its data centre ends. */
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/ServerView.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/ServerView.java
@@ -5,6 +5,7 @@
 import java.util.OptionalDouble;
 import org.daisyscale.core.serving.AttemptOutcome;
 import org.daisyscale.core.serving.BackendServer;
+import org.daisyscale.core.serving.EventTime;
 import org.daisyscale.core.serving.LoadReport;
 
 /**
@@ -25,9 +26,6 @@
     /** Minimum age of an attempt whose server counts as unresponsive, in milliseconds; several usual latencies. */
     private static final long UNRESPONSIVE_MILLIS = 700;
 
-    /** Age of the registration of a server that this router hears of first: it may be leaving for as long as it ran. */
-    private static final long UNKNOWN_AGE_MILLIS = 3_600_000;
-
     private static final double NANOS_PER_MILLI = 1e6;
     private static final double NANOS_PER_SECOND = 1e9;
     private static final double MILLIS_PER_SECOND = 1e3;
@@ -51,35 +49,41 @@
     private boolean wasChecked;
     private long checkedNanos;
     private boolean isLeaving;
-    private long leavingSinceNanos;
+    private EventTime leavingSince = EventTime.UNKNOWN;
 
     ServerView(BackendServer server, ColdStartLimiter coldStartLimiter, ServiceLevel serviceLevel, long nowNanos) {
         this.server = server;
         this.coldStartLimiter = coldStartLimiter;
         this.serviceLevel = serviceLevel;
-        update(server, UNKNOWN_AGE_MILLIS, nowNanos);
+        // A server that this router hears of first may have been leaving for as long as it ran.
+        update(server, EventTime.UNKNOWN, nowNanos);
     }
 
-    /** Takes over a registration that may have changed {@code maxAgeMillis} ago. */
-    void update(BackendServer newer, long maxAgeMillis, long nowNanos) {
+    /** Takes over a registration that changed at {@code changedAt}. */
+    void update(BackendServer newer, EventTime changedAt, long nowNanos) {
         server = newer;
         if (newer.coldLeftMillis() > 0) {
             coldStartLimiter.markColdUntil(nowNanos + newer.coldLeftMillis() * 1_000_000L);
         }
         if (newer.isDraining()) {
-            markLeaving(nowNanos - maxAgeMillis * 1_000_000L);
+            markLeaving(changedAt);
         } else {
             isLeaving = false;
         }
     }
 
-    private void markLeaving(long sinceNanos) {
+    private void markLeaving(EventTime since) {
         if (!isLeaving) {
             isLeaving = true;
-            leavingSinceNanos = sinceNanos;
+            leavingSince = since;
         }
     }
 
+    /** Records that an unknown time has passed that the clock did not count. */
+    void handleSuspension() {
+        leavingSince = EventTime.UNKNOWN;
+    }
+
     BackendServer server() {
         return server;
     }
@@ -92,9 +96,9 @@
         return isLeaving;
     }
 
-    /** Returns whether the server has been leaving for {@code millis} or longer. */
+    /** Returns whether the server may have been leaving for {@code millis} or longer. */
     boolean isLeavingFor(long millis, long nowNanos) {
-        return isLeaving && nowNanos - leavingSinceNanos >= millis * 1_000_000L;
+        return isLeaving && leavingSince.mayBePast(millis, nowNanos);
     }
 
     /** Starts a health check unless one was started within {@code intervalMillis}; returns whether it did. */
--- a/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingEvent.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/serving/ServingEvent.java
@@ -1,8 +1,10 @@
 package org.daisyscale.core.serving;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.daisyscale.core.quota.QuotaGrant;
 
 /** An event that the request path handles. Immutable. */
@@ -95,25 +97,39 @@
      * {@code server} was registered or changed its registration.
      *
      * @param server the server as it registered itself
-     * @param maxAgeMillis how long ago the change may have happened: the time since this router last knew that it had
-     *     not, in milliseconds
+     * @param changedAt when the change happened
      */
-    record ServerChanged(BackendServer server, long maxAgeMillis) implements ServingEvent {
+    record ServerChanged(BackendServer server, EventTime changedAt) implements ServingEvent {
 
-        /** Creates the event of a change that happened just now. */
+        /** Creates the event of a change that may have happened any time ago. */
         public ServerChanged(BackendServer server) {
-            this(server, 0);
+            this(server, EventTime.UNKNOWN);
         }
     }
 
     /** The server {@code serverId} is no longer registered. */
     record ServerRemoved(String serverId) implements ServingEvent {}
 
-    /** The set of evacuated data centres, which must get no requests, changed to {@code dataCentres}. */
-    record EvacuationsChanged(Set<String> dataCentres) implements ServingEvent {
+    /**
+     * The set of evacuated data centres, which must get no requests, was read for the first time or changed.
+     *
+     * @param evacuatedAtByDataCentre when the evacuation of each was acknowledged
+     */
+    record EvacuationsChanged(Map<String, EventTime> evacuatedAtByDataCentre) implements ServingEvent {
 
         public EvacuationsChanged {
-            dataCentres = Set.copyOf(dataCentres);
+            evacuatedAtByDataCentre = Map.copyOf(evacuatedAtByDataCentre);
+        }
+
+        /** Creates the event of evacuations that may have been acknowledged any time ago. */
+        public EvacuationsChanged(Set<String> dataCentres) {
+            this(dataCentres.stream()
+                    .collect(Collectors.toMap(dataCentre -> dataCentre, dataCentre -> EventTime.UNKNOWN)));
+        }
+
+        /** Returns the evacuated data centres. */
+        public Set<String> dataCentres() {
+            return evacuatedAtByDataCentre.keySet();
         }
     }
 
--- a/daisyscale-core/src/test/java/org/daisyscale/core/following/ItemViewTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/following/ItemViewTest.java
@@ -12,12 +12,13 @@
 import org.daisyscale.core.platform.CoordinationStore.Item;
 import org.daisyscale.core.platform.CoordinationStore.ItemChange;
 import org.daisyscale.core.platform.CoordinationStore.Listing;
+import org.daisyscale.core.serving.EventTime;
 import org.junit.jupiter.api.Test;
 
 class ItemViewTest {
     private static final String PREFIX = "p/";
-    private static final ReadCircumstances USUAL = new ReadCircumstances(0, false);
-    private static final ReadCircumstances IN_GRACE = new ReadCircumstances(0, true);
+    private static final ReadCircumstances USUAL = new ReadCircumstances(EventTime.UNKNOWN, false);
+    private static final ReadCircumstances IN_GRACE = new ReadCircumstances(EventTime.UNKNOWN, true);
 
     private final Held held = new Held();
     private final ItemView view = new ItemView(PREFIX, held);
@@ -29,7 +30,7 @@
         private int completeCount;
 
         @Override
-        public void onWritten(Item item, long maxAgeMillis) {
+        public void onWritten(Item item, EventTime writtenAt) {
             revisionByKey.put(item.key(), item.revision());
         }
 
@@ -78,7 +79,11 @@
     }
 
     private UpdateResult tell(boolean isWhole) {
-        return view.applyUpdate(tellerView.updateFrom(view.version(), isWhole), "r1", 0);
+        return apply(tellerView.updateFrom(view.version(), isWhole));
+    }
+
+    private UpdateResult apply(ViewUpdate update) {
+        return view.applyUpdate(update, "r1", EventTime.UNKNOWN);
     }
 
     private void listBoth(Listing listing) {
@@ -245,7 +250,7 @@
         tellerView.applyListing(listing(5, item("a", 3)), USUAL);
         ViewUpdate difference = tellerView.updateFrom(new ViewVersion(5, 0), false);
 
-        assertThat(view.applyUpdate(difference, "r1", 0)).isEqualTo(UpdateResult.NOT_LISTED);
+        assertThat(apply(difference)).isEqualTo(UpdateResult.NOT_LISTED);
         assertThat(tell(false)).isEqualTo(UpdateResult.APPLIED);
         assertThat(view.version()).isEqualTo(tellerView.version());
     }
@@ -264,7 +269,7 @@
         ViewUpdate other = new ViewUpdate(
                 "q/", new ViewVersion(9, digest(item("a", 3))), true, List.of(item("a", 3)), Set.of(), List.of());
 
-        assertThat(view.applyUpdate(other, "r1", 0)).isEqualTo(UpdateResult.DOES_NOT_APPLY);
+        assertThat(apply(other)).isEqualTo(UpdateResult.DOES_NOT_APPLY);
         assertThat(held.revisionByKey).isEmpty();
     }
 
@@ -273,8 +278,7 @@
         view.applyListing(listing(5, item("a", 3)), USUAL);
         List<Item> twice = List.of(item("b", 7), item("b", 6));
 
-        UpdateResult result =
-                view.applyUpdate(update(8, digest(item("a", 3), item("b", 6)), false, twice, Set.of()), "r1", 0);
+        UpdateResult result = apply(update(8, digest(item("a", 3), item("b", 6)), false, twice, Set.of()));
 
         assertThat(result).isEqualTo(UpdateResult.DOES_NOT_APPLY);
         assertThat(held.revisionByKey).containsExactlyEntriesOf(Map.of("a", 3L));
@@ -284,9 +288,8 @@
     void shouldNotGoBackByAnOlderUpdate() {
         view.applyListing(listing(5, item("a", 5)), USUAL);
 
-        assertThat(view.applyUpdate(update(4, 0, true, List.of(), Set.of()), "r1", 0))
-                .isEqualTo(UpdateResult.OLDER);
-        assertThat(view.applyUpdate(update(5, digest(item("a", 4)), true, List.of(item("a", 4)), Set.of()), "r1", 0))
+        assertThat(apply(update(4, 0, true, List.of(), Set.of()))).isEqualTo(UpdateResult.OLDER);
+        assertThat(apply(update(5, digest(item("a", 4)), true, List.of(item("a", 4)), Set.of())))
                 .isEqualTo(UpdateResult.OLDER);
         assertThat(held.revisionByKey).containsExactlyEntriesOf(Map.of("a", 5L));
     }
@@ -295,10 +298,8 @@
     void shouldNotRemoveAnItemThatWasWrittenAfterTheUpdate() {
         view.applyListing(listing(5, item("a", 8)), USUAL);
 
-        assertThat(view.applyUpdate(update(6, 0, true, List.of(), Set.of()), "r1", 0))
-                .isEqualTo(UpdateResult.OLDER);
-        assertThat(view.applyUpdate(update(6, 0, false, List.of(), Set.of("a")), "r1", 0))
-                .isEqualTo(UpdateResult.OLDER);
+        assertThat(apply(update(6, 0, true, List.of(), Set.of()))).isEqualTo(UpdateResult.OLDER);
+        assertThat(apply(update(6, 0, false, List.of(), Set.of("a")))).isEqualTo(UpdateResult.OLDER);
     }
 
     /** The controller's grace period may end later than the one of this router, which read the store itself. */
--- a/daisyscale-core/src/test/java/org/daisyscale/core/following/ItemsThatAreGoneTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/following/ItemsThatAreGoneTest.java
@@ -10,11 +10,12 @@
 import org.daisyscale.core.platform.CoordinationStore.Item;
 import org.daisyscale.core.platform.CoordinationStore.ItemChange;
 import org.daisyscale.core.platform.CoordinationStore.Listing;
+import org.daisyscale.core.serving.EventTime;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a server that had left and is in use again, because an older read or another view still holds it. */
 class ItemsThatAreGoneTest {
-    private static final ReadCircumstances CIRCUMSTANCES = new ReadCircumstances(0, false);
+    private static final ReadCircumstances CIRCUMSTANCES = new ReadCircumstances(EventTime.UNKNOWN, false);
 
     private final List<String> calls = new ArrayList<>();
     private final ItemView view = new ItemView("servers/", listener(calls));
@@ -22,7 +23,7 @@
     private static ViewListener listener(List<String> calls) {
         return new ViewListener() {
             @Override
-            public void onWritten(Item item, long maxAgeMillis) {
+            public void onWritten(Item item, EventTime writtenAt) {
                 calls.add("written " + item.key() + "@" + item.revision());
             }
 
@@ -52,7 +53,7 @@
     void shouldNotBringBackAnItemByAWatchThatEndsAfterTheViewWasToldFurther() {
         view.applyListing(new Listing(List.of(item("servers/a", 5)), 10), CIRCUMSTANCES);
         ItemView controller = viewOf(new Listing(List.of(item("servers/a", 5)), 30));
-        view.applyUpdate(controller.updateFrom(view.version(), true), "r1", 0);
+        view.applyUpdate(controller.updateFrom(view.version(), true), "r1", EventTime.UNKNOWN);
         view.confirm(30);
 
         ItemChange written = new ItemChange("servers/x", 12, Optional.of(item("servers/x", 12)));
@@ -66,7 +67,7 @@
     void shouldNotBringBackAnItemThatItSawLeaveByAWatchThatEndsLater() {
         view.applyListing(new Listing(List.of(item("servers/a", 5), item("servers/x", 12)), 20), CIRCUMSTANCES);
         ItemView controller = viewOf(new Listing(List.of(item("servers/a", 5)), 30));
-        assertThat(view.applyUpdate(controller.updateFrom(view.version(), true), "r1", 0))
+        assertThat(view.applyUpdate(controller.updateFrom(view.version(), true), "r1", EventTime.UNKNOWN))
                 .isEqualTo(UpdateResult.APPLIED);
 
         ItemChange written = new ItemChange("servers/x", 22, Optional.of(item("servers/x", 22)));
@@ -81,10 +82,11 @@
         ItemView controller = viewOf(new Listing(List.of(item("servers/a", 5), item("servers/x", 30)), 40));
         view.applyListing(new Listing(List.of(item("servers/a", 5)), 50), CIRCUMSTANCES);
         controller.applyListing(
-                new Listing(List.of(item("servers/a", 5)), 51), new ReadCircumstances(0, true)); // x may have lapsed
+                new Listing(List.of(item("servers/a", 5)), 51),
+                new ReadCircumstances(EventTime.UNKNOWN, true)); // x may have lapsed
         calls.clear();
 
-        UpdateResult result = view.applyUpdate(controller.updateFrom(view.version(), true), "r1", 0);
+        UpdateResult result = view.applyUpdate(controller.updateFrom(view.version(), true), "r1", EventTime.UNKNOWN);
 
         assertThat(calls).isEmpty();
         assertThat(result).isEqualTo(UpdateResult.OLDER);
@@ -93,7 +95,7 @@
     @Test
     void shouldRemoveALapsedItemAlthoughALateWatchStillHasIt() {
         view.applyListing(new Listing(List.of(item("servers/x", 12)), 15), CIRCUMSTANCES);
-        view.applyListing(new Listing(List.of(), 20), new ReadCircumstances(0, true));
+        view.applyListing(new Listing(List.of(), 20), new ReadCircumstances(EventTime.UNKNOWN, true));
 
         ItemChange written = new ItemChange("servers/x", 12, Optional.of(item("servers/x", 12)));
         view.applyChanges(new Changes(List.of(written), 13), CIRCUMSTANCES);
@@ -108,10 +110,10 @@
         view.applyListing(new Listing(List.of(), 50), CIRCUMSTANCES);
         ItemView controller = viewOf(new Listing(List.of(item("servers/x", 55)), 60));
 
-        UpdateResult result = view.applyUpdate(controller.updateFrom(view.version(), false), "r1", 0);
+        UpdateResult result = view.applyUpdate(controller.updateFrom(view.version(), false), "r1", EventTime.UNKNOWN);
 
         assertThat(result).isIn(UpdateResult.APPLIED, UpdateResult.DOES_NOT_APPLY);
-        assertThat(view.applyUpdate(controller.updateFrom(view.version(), true), "r1", 0))
+        assertThat(view.applyUpdate(controller.updateFrom(view.version(), true), "r1", EventTime.UNKNOWN))
                 .isIn(UpdateResult.APPLIED, UpdateResult.OLDER);
         assertThat(view.version()).isEqualTo(controller.version());
     }
@@ -121,7 +123,7 @@
         view.applyListing(new Listing(List.of(item("servers/a", 5)), 10), CIRCUMSTANCES);
         ItemView controller = viewOf(new Listing(List.of(item("servers/b", 12)), 30));
 
-        view.applyUpdate(controller.updateFrom(view.version(), true), "r1", 0);
+        view.applyUpdate(controller.updateFrom(view.version(), true), "r1", EventTime.UNKNOWN);
 
         assertThat(view.version()).isEqualTo(controller.version());
         assertThat(view.updateFrom(ViewVersion.NONE, true).removedKeys()).isEqualTo(Set.of());
--- a/daisyscale-core/src/test/java/org/daisyscale/core/following/ModelRouter.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/following/ModelRouter.java
@@ -9,6 +9,7 @@
 import org.daisyscale.core.platform.CoordinationStore.Changes;
 import org.daisyscale.core.platform.CoordinationStore.Item;
 import org.daisyscale.core.platform.CoordinationStore.Listing;
+import org.daisyscale.core.serving.EventTime;
 
 /** A router of the model, which follows the prefix as the duty of a router does. Not thread-safe. */
 final class ModelRouter implements ViewListener {
@@ -160,7 +161,7 @@
             return;
         }
         long nowNanos = fleet.nowNanos();
-        UpdateResult result = view.applyUpdate(update, from, follower.ageMillis(nowNanos));
+        UpdateResult result = view.applyUpdate(update, from, follower.changedAt());
         checks.recordStep(
                 this, "update of %s to %s, whole %s: %s".formatted(from, update.version(), update.isWhole(), result));
         if (result == UpdateResult.APPLIED) {
@@ -214,7 +215,7 @@
     }
 
     private ReadCircumstances circumstances() {
-        return new ReadCircumstances(follower.ageMillis(fleet.nowNanos()), isWithinGrace());
+        return new ReadCircumstances(follower.changedAt(), isWithinGrace());
     }
 
     private boolean isWithinGrace() {
@@ -247,7 +248,7 @@
     }
 
     @Override
-    public void onWritten(Item item, long maxAgeMillis) {
+    public void onWritten(Item item, EventTime writtenAt) {
         checks.recordWritten(this, item);
         itemByKey.put(item.key(), item);
     }
--- a/daisyscale-core/src/test/java/org/daisyscale/core/following/RestoredViewTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/following/RestoredViewTest.java
@@ -12,11 +12,12 @@
 import org.daisyscale.core.platform.CoordinationStore.ItemChange;
 import org.daisyscale.core.platform.CoordinationStore.Listing;
 import org.daisyscale.core.platform.EraRevision;
+import org.daisyscale.core.serving.EventTime;
 import org.junit.jupiter.api.Test;
 
 /** A view of a store that is restored from an older copy, whose revisions go back. */
 class RestoredViewTest {
-    private static final ReadCircumstances USUAL = new ReadCircumstances(0, false);
+    private static final ReadCircumstances USUAL = new ReadCircumstances(EventTime.UNKNOWN, false);
 
     private final InForce inForce = new InForce();
     private final InForce inForceAtTeller = new InForce();
@@ -29,7 +30,7 @@
         private int writtenCount;
 
         @Override
-        public void onWritten(Item item, long maxAgeMillis) {
+        public void onWritten(Item item, EventTime writtenAt) {
             writtenCount++;
             valueByKey.put(item.key(), new String(item.value(), StandardCharsets.UTF_8));
         }
@@ -66,7 +67,7 @@
     }
 
     private UpdateResult tell() {
-        return view.applyUpdate(teller.updateFrom(view.version(), true), "r1", 0);
+        return view.applyUpdate(teller.updateFrom(view.version(), true), "r1", EventTime.UNKNOWN);
     }
 
     @Test
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/FleetReplay.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/FleetReplay.java
@@ -16,6 +16,7 @@
 import org.daisyscale.core.keys.KeySettings;
 import org.daisyscale.core.serving.AttemptOutcome;
 import org.daisyscale.core.serving.BackendServer;
+import org.daisyscale.core.serving.EventTime;
 import org.daisyscale.core.serving.KeyMap;
 import org.daisyscale.core.serving.RequestHead;
 import org.daisyscale.core.serving.RequestLimits;
@@ -79,6 +80,7 @@
         }
         broadcast(new ServingEvent.RoutersChanged(routerIds));
         renewRegistrations();
+        broadcast(new ServingEvent.EvacuationsChanged(Set.of()));
         broadcast(new ServingEvent.TableChanged(table()));
         for (int index = 0; index < speeds.length; index++) {
             join("server-" + (10 + index), speeds[index], 0);
@@ -297,16 +299,18 @@
     /** Registers the server as draining; it serves on. */
     void drain(String serverId) {
         BackendServer server = serverById.get(serverId).registration();
-        broadcast(new ServingEvent.ServerChanged(new BackendServer(
-                server.id(),
-                server.bornEpochMillis(),
-                server.service(),
-                server.host(),
-                server.port(),
-                server.dataCentre(),
-                server.slots(),
-                true,
-                0)));
+        broadcast(new ServingEvent.ServerChanged(
+                new BackendServer(
+                        server.id(),
+                        server.bornEpochMillis(),
+                        server.service(),
+                        server.host(),
+                        server.port(),
+                        server.dataCentre(),
+                        server.slots(),
+                        true,
+                        0),
+                EventTime.notBefore(time.nowNanos())));
     }
 
     /** Registers the server as ready again. */
@@ -315,6 +319,7 @@
     }
 
     private void sendTable() {
+        handleByController(new KeyEvent.FleetChanged(new ServingEvent.EvacuationsChanged(Set.of())));
         handleByController(new KeyEvent.FleetChanged(new ServingEvent.TableChanged(table())));
     }
 
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/AllowanceTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/AllowanceTest.java
@@ -53,6 +53,7 @@
                 Map.of("pooled", new ServiceRules("pooled", "/health", 120, 3_000, 7, false, 0)),
                 new RequestLimits(16_384, 1 << 20, 3_000, 15_000),
                 organisations);
+        handle(new ServingEvent.EvacuationsChanged(Set.of()));
         handle(new ServingEvent.TableChanged(table));
         handle(new ServingEvent.ConfigurationConfirmed(nowNanos));
         handle(new ServingEvent.ServersListed(List.of(
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/ApiKeyTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/ApiKeyTest.java
@@ -58,6 +58,7 @@
     }
 
     private void use(RoutingTable table) {
+        router.handle(new ServingEvent.EvacuationsChanged(Set.of()), nowNanos);
         router.handle(new ServingEvent.TableChanged(table), nowNanos);
         router.handle(new ServingEvent.ConfigurationConfirmed(nowNanos), nowNanos);
         BackendServer server = new BackendServer("i-1", 1, "pooled", "10.0.0.1", 80, "dc1", 3, false, 0);
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/ColdAgainTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/ColdAgainTest.java
@@ -36,6 +36,7 @@
             RequestRouter router =
                     RequestRouter.create(new ServingSettings(id, "dc1", 1, 1.5, 5, 0.2, 60, 10_000, 2_000, 5_000));
             routers.add(router);
+            handle(router, new ServingEvent.EvacuationsChanged(Set.of()));
             handle(
                     router,
                     new ServingEvent.TableChanged(new RoutingTable(
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/ColdServerQuotaTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/ColdServerQuotaTest.java
@@ -39,6 +39,7 @@
         Route route =
                 new Route("pay", "h", "/", false, 800, 400, 1, 2, List.of(new Route.WeightedService("pooled", 1)));
         ServiceRules rules = new ServiceRules("pooled", "/health", 120, 3_000, 7, false, 0);
+        handleAtAll(new ServingEvent.EvacuationsChanged(Set.of()));
         handleAtAll(new ServingEvent.TableChanged(new RoutingTable(
                 1, List.of(route), Map.of("pooled", rules), new RequestLimits(16_384, 1 << 20, 3_000, 15_000))));
     }
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/CrashingRequestTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/CrashingRequestTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Stream;
 import org.daisyscale.core.error.CoreErrorCode;
 import org.daisyscale.core.peer.PeerMessage;
@@ -38,6 +39,7 @@
                 new Route("read", "h", "/", true, 800, 400, 1, 2, List.of(new Route.WeightedService("pooled", 1)));
         handle(router, new ServingEvent.RegistrationRenewed(nowNanos - 10_000 * MILLI, Long.MAX_VALUE / 2));
         handle(router, new ServingEvent.RoutersConfirmed(nowNanos));
+        handle(router, new ServingEvent.EvacuationsChanged(Set.of()));
         handle(
                 router,
                 new ServingEvent.TableChanged(new RoutingTable(
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/DroppedServiceTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/DroppedServiceTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.daisyscale.core.serving.KeyAssignment.Owner;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -22,6 +23,7 @@
     void useService() {
         ServiceRules rules = new ServiceRules("keyed", "/health", 120, 3_000, 7, true, 5_000);
         Route route = new Route("read", "h", "/", true, 800, 400, 1, 2, List.of(new Route.WeightedService("keyed", 1)));
+        handle(new ServingEvent.EvacuationsChanged(Set.of()));
         handle(new ServingEvent.TableChanged(new RoutingTable(1, List.of(route), Map.of("keyed", rules), LIMITS)));
         handle(new ServingEvent.ServerChanged(server("k1")));
         handle(new ServingEvent.ServerChanged(server("k2")));
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/EvacuationAfterRestartTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/EvacuationAfterRestartTest.java
@@ -11,7 +11,6 @@
 import org.junit.jupiter.api.Test;
 
 /** Guards against a router that starts during an evacuation and sends requests to the evacuated data centre (EVAC). */
-@Tag("known-red")
 class EvacuationAfterRestartTest {
     private static final long MILLI = 1_000_000L;
     private static final String EVACUATED = "dc2";
@@ -107,6 +106,7 @@
     }
 
     @Test
+    @Tag("known-red")
     void shouldSendNothingToAnEvacuatedDataCentreInWhateverOrderAStartingRouterLearnsOfIt() {
         for (List<ServingEvent> order : permutations(parts())) {
             assertThat(sentWhileLearning(order))
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/LeavingServerTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/LeavingServerTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -20,6 +21,7 @@
     void useTable() {
         ServiceRules rules = new ServiceRules("keyed", "/health", 120, 3_000, 7, true, 5_000);
         Route route = new Route("read", "h", "/", true, 800, 400, 1, 2, List.of(new Route.WeightedService("keyed", 1)));
+        handle(new ServingEvent.EvacuationsChanged(Set.of()));
         handle(new ServingEvent.TableChanged(new RoutingTable(
                 1, List.of(route), Map.of("keyed", rules), new RequestLimits(16_384, 1 << 20, 3_000, 15_000))));
     }
@@ -32,6 +34,10 @@
         return new BackendServer("k1", 7, "keyed", "10.0.0.1", 80, "dc1", 3, isDraining, 0);
     }
 
+    private EventTime maxAgeMillis(long millis) {
+        return EventTime.notBefore(nowNanos - millis * MILLI);
+    }
+
     private void assignAllKeys() {
         KeyAssignment all =
                 new KeyAssignment(0, KeyMap.KEY_COUNT - 1, KeyAssignment.Owner.of(server(false)), 1, true, List.of());
@@ -49,7 +55,7 @@
         handle(new ServingEvent.ServerChanged(server(false)));
         assignAllKeys();
 
-        handle(new ServingEvent.ServerChanged(server(true), 300));
+        handle(new ServingEvent.ServerChanged(server(true), maxAgeMillis(300)));
 
         assertThat(isSent()).isTrue();
     }
@@ -60,7 +66,7 @@
         handle(new ServingEvent.ServerChanged(server(false)));
         assignAllKeys();
 
-        handle(new ServingEvent.ServerChanged(server(true), 1_600));
+        handle(new ServingEvent.ServerChanged(server(true), maxAgeMillis(1_600)));
 
         assertThat(isSent()).isFalse();
     }
@@ -69,7 +75,7 @@
     void shouldNotUseALeavingOwnerCloseToTheEndOfItsDrainTime() {
         handle(new ServingEvent.ServerChanged(server(false)));
         assignAllKeys();
-        handle(new ServingEvent.ServerChanged(server(true), 300));
+        handle(new ServingEvent.ServerChanged(server(true), maxAgeMillis(300)));
 
         nowNanos += (DRAIN_MILLIS - 800) * MILLI;
 
@@ -79,7 +85,7 @@
     /** Guards against servers that have left long ago and are in use again after a restart of the router. */
     @Test
     void shouldNotUseAnOwnerThatWasLeavingWhenTheRouterFirstHeardOfIt() {
-        handle(new ServingEvent.ServerChanged(server(true), 100));
+        handle(new ServingEvent.ServerChanged(server(true), maxAgeMillis(100)));
         assignAllKeys();
 
         assertThat(isSent()).isFalse();
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/PlacementUnderLoadTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/PlacementUnderLoadTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -23,6 +24,7 @@
     void configure() {
         Route route = new Route("r", "h", "/", true, 800, 400, 1, 2, List.of(new Route.WeightedService("pooled", 1)));
         ServiceRules rules = new ServiceRules("pooled", "", 120, 0, 7, false, 0);
+        handle(new ServingEvent.EvacuationsChanged(Set.of()));
         handle(new ServingEvent.TableChanged(
                 new RoutingTable(1, List.of(route), Map.of("pooled", rules), new RequestLimits(1, 1, 1, 1))));
         handle(new ServingEvent.ServerChanged(server("s1", "dc1")));
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/RequestRouterTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/RequestRouterTest.java
@@ -51,6 +51,7 @@
 
     private void useTable() {
         join();
+        handle(new ServingEvent.EvacuationsChanged(Set.of()));
         handle(new ServingEvent.TableChanged(table(
                 5,
                 route("pay", false, to("pooled", 1)),
@@ -175,6 +176,7 @@
 
     @Test
     void shouldNotSpendSharedRetriesBeforeOtherRoutersCountThisOne() {
+        handle(new ServingEvent.EvacuationsChanged(Set.of()));
         handle(new ServingEvent.TableChanged(table(5, route("read", true, to("pooled", 1)))));
         addServers("s1", "s2");
         arrive(1, "/read/1");
@@ -255,6 +257,7 @@
 
     @Test
     void shouldDistributeRequestsByTheWeightsOfARoute() {
+        handle(new ServingEvent.EvacuationsChanged(Set.of()));
         handle(new ServingEvent.TableChanged(table(1, route("split", true, to("pooled", 90), to("other", 10)))));
         addServers("s1");
         handle(new ServingEvent.ServerChanged(server("o1", "other", false, 0)));
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/RequestWithoutRouteTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/RequestWithoutRouteTest.java
@@ -45,6 +45,7 @@
     }
 
     private void useTable(ConfigurationSource source) {
+        handle(new ServingEvent.EvacuationsChanged(Set.of()));
         handle(new ServingEvent.TableChanged(table(5, route("pay")), source));
     }
 
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/ServerNoticeTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/ServerNoticeTest.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import org.daisyscale.core.error.CoreErrorCode;
 import org.daisyscale.core.peer.PeerMessage;
 import org.junit.jupiter.api.BeforeEach;
@@ -37,6 +38,7 @@
     private void useTable(long version) {
         ServiceRules pooled = new ServiceRules("pooled", "/health", 120, 3_000, 7, false, 0);
         ServiceRules keyed = new ServiceRules("keyed", "/health", 120, 3_000, 7, true, 5_000);
+        handle(new ServingEvent.EvacuationsChanged(Set.of()));
         handle(new ServingEvent.TableChanged(new RoutingTable(
                 version,
                 List.of(route("pool", "pooled"), route("keys", "keyed")),
--- a/daisyscale-core/src/test/java/org/daisyscale/core/serving/UnknownOutcomeTest.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/serving/UnknownOutcomeTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.daisyscale.core.error.CoreErrorCode;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -22,6 +23,7 @@
     UnknownOutcomeTest() {
         handle(new ServingEvent.RegistrationRenewed(nowNanos - 10_000 * MILLI, nowNanos + 1_000 * MILLI));
         handle(new ServingEvent.RoutersConfirmed(nowNanos));
+        handle(new ServingEvent.EvacuationsChanged(Set.of()));
         handle(new ServingEvent.TableChanged(new RoutingTable(
                 5,
                 List.of(route("pay", "pooled", false), route("read", "pooled", true), route("keyed", "keyed", false)),
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/FollowDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/FollowDuty.java
@@ -199,7 +199,7 @@
 
     private void handleUpdate(FollowEvent.Updated updated, long nowNanos) {
         ViewUpdate update = updated.update();
-        UpdateResult result = contents.applyUpdate(update, updated.controllerId(), follower.ageMillis(nowNanos));
+        UpdateResult result = contents.applyUpdate(update, updated.controllerId(), follower.changedAt());
         reports.results().accept(result);
         if (result == UpdateResult.APPLIED) {
             follower.recordApplied(contents.version());
@@ -244,7 +244,7 @@
     private void handleListing(Listing listing, long nowNanos) {
         reachability.recordResponse(contents.version().revision());
         boolean isNew = listing.revision() >= contents.version().revision();
-        contents.applyListing(listing, circumstances(nowNanos));
+        contents.applyListing(listing, circumstances());
         recordRead(0, isNew, nowNanos);
     }
 
@@ -258,13 +258,13 @@
             // If the revision rose without a change, the store may have withheld one, as when it dropped its history.
             recordRead(0, changes.get().revision() <= held.revision(), nowNanos);
         } else {
-            contents.applyChanges(changes.get(), circumstances(nowNanos));
+            contents.applyChanges(changes.get(), circumstances());
             recordRead(changes.get().changes().size(), true, nowNanos);
         }
     }
 
-    private ReadCircumstances circumstances(long nowNanos) {
-        return new ReadCircumstances(follower.ageMillis(nowNanos), isWithinGrace());
+    private ReadCircumstances circumstances() {
+        return new ReadCircumstances(follower.changedAt(), isWithinGrace());
     }
 
     private void recordRead(int changeCount, boolean isComplete, long nowNanos) {
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/ItemFailureListener.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/following/ItemFailureListener.java
@@ -2,6 +2,7 @@
 
 import org.daisyscale.core.following.ViewListener;
 import org.daisyscale.core.platform.CoordinationStore.Item;
+import org.daisyscale.core.serving.EventTime;
 import org.daisyscale.router.internal.log.EventLog;
 
 /**
@@ -22,8 +23,8 @@
     }
 
     @Override
-    public void onWritten(Item item, long maxAgeMillis) {
-        contain(item.key(), () -> receiver.onWritten(item, maxAgeMillis));
+    public void onWritten(Item item, EventTime writtenAt) {
+        contain(item.key(), () -> receiver.onWritten(item, writtenAt));
     }
 
     @Override
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetListeners.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/FleetListeners.java
@@ -5,6 +5,7 @@
 import org.daisyscale.core.keys.KeyEvent;
 import org.daisyscale.core.platform.CoordinationStore.Item;
 import org.daisyscale.core.serving.BackendServer;
+import org.daisyscale.core.serving.EventTime;
 import org.daisyscale.core.serving.ServingEvent;
 import org.daisyscale.router.internal.log.EventLog;
 import org.daisyscale.router.serving.FleetDecoder;
@@ -44,15 +45,16 @@
     ViewListener createServerListener() {
         return new ViewListener() {
             @Override
-            public void onWritten(Item item, long maxAgeMillis) {
+            public void onWritten(Item item, EventTime writtenAt) {
                 decoder.server(item)
-                        .ifPresentOrElse(
-                                server -> publishServer(server, item, maxAgeMillis), () -> onRemoved(item.key()));
+                        .ifPresentOrElse(server -> publishServer(server, item, writtenAt), () -> onRemoved(item.key()));
             }
 
-            private void publishServer(BackendServer server, Item item, long maxAgeMillis) {
-                EventLog.info("server-seen", server + " revision=" + item.revision() + " maxAgeMillis=" + maxAgeMillis);
-                publishToBoth(new ServingEvent.ServerChanged(server, maxAgeMillis));
+            private void publishServer(BackendServer server, Item item, EventTime writtenAt) {
+                EventLog.info(
+                        "server-seen",
+                        server + " revision=" + item.revision() + " " + writtenAt.describe(System.nanoTime()));
+                publishToBoth(new ServingEvent.ServerChanged(server, writtenAt));
             }
 
             @Override
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorState.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/OperatorState.java
@@ -1,9 +1,11 @@
 package org.daisyscale.router.internal.serving;
 
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.daisyscale.core.following.ItemDigest;
 import org.daisyscale.core.following.ItemView;
@@ -19,6 +21,7 @@
 import org.daisyscale.core.platform.CoordinationStore.Listing;
 import org.daisyscale.core.platform.EraRevision;
 import org.daisyscale.core.serving.ConfigurationSource;
+import org.daisyscale.core.serving.EventTime;
 import org.daisyscale.core.serving.RoutingTable;
 import org.daisyscale.core.serving.RoutingTableChange;
 import org.daisyscale.core.serving.RoutingTableHistory;
@@ -44,7 +47,7 @@
     private final Readiness readiness;
     private final ItemView items;
     private final RoutingTableHistory history = new RoutingTableHistory();
-    private final Set<String> dataCentres = new HashSet<>();
+    private final Map<String, EventTime> evacuatedAtByDataCentre = new HashMap<>();
     private RoutingTable table;
     /**
      * The revision of the newest configuration that could be decoded. Routers that read different ones before one that
@@ -52,7 +55,8 @@
      */
     private long tableRevision;
 
-    private Set<String> evacuatedDataCentres = Set.of();
+    private Set<String> publishedEvacuations = Set.of();
+    private boolean areEvacuationsPublished;
 
     OperatorState(FleetDecoder decoder, Consumer<ServingEvent> events, Readiness readiness) {
         this.prefix = decoder.operatorPrefix();
@@ -74,21 +78,21 @@
 
     @Override
     public void applyListing(Listing listing, ReadCircumstances circumstances) {
-        items.applyListing(listing, new ReadCircumstances(circumstances.maxAgeMillis(), false));
+        items.applyListing(listing, new ReadCircumstances(circumstances.changedAt(), false));
     }
 
     @Override
     public void applyChanges(Changes changes, ReadCircumstances circumstances) {
-        items.applyChanges(changes, new ReadCircumstances(circumstances.maxAgeMillis(), false));
+        items.applyChanges(changes, new ReadCircumstances(circumstances.changedAt(), false));
     }
 
     @Override
-    public UpdateResult applyUpdate(ViewUpdate update, String controllerId, long maxAgeMillis) {
+    public UpdateResult applyUpdate(ViewUpdate update, String controllerId, EventTime changedAt) {
         ViewUpdate itemsUpdate = withoutTable(update);
         UpdateResult result = check(update, itemsUpdate);
         if (result == UpdateResult.APPLIED) {
             update.tables().forEach(change -> applyTableUpdate(change, controllerId));
-            items.applyUpdate(itemsUpdate, controllerId, maxAgeMillis);
+            items.applyUpdate(itemsUpdate, controllerId, changedAt);
         }
         return result;
     }
@@ -201,7 +205,7 @@
     @Override
     public String describe() {
         return "version=%d revision=%d evacuated=%d"
-                .formatted(heldVersion(), items.version().revision(), evacuatedDataCentres.size());
+                .formatted(heldVersion(), items.version().revision(), publishedEvacuations.size());
     }
 
     private void applyTable(RoutingTable newer, long revision, ConfigurationSource source) {
@@ -217,10 +221,10 @@
     private final class ItemListener implements ViewListener {
 
         @Override
-        public void onWritten(Item item, long maxAgeMillis) {
+        public void onWritten(Item item, EventTime writtenAt) {
             Optional<String> dataCentre = decoder.evacuatedDataCentre(item.key());
             if (dataCentre.isPresent()) {
-                dataCentres.add(dataCentre.get());
+                evacuatedAtByDataCentre.merge(dataCentre.get(), writtenAt, EventTime::earlier);
             } else if (item.value().length > 0 && item.revision() > tableRevision) {
                 decoder.table(item).ifPresent(read -> handleRead(item, read));
             }
@@ -253,17 +257,27 @@
 
         @Override
         public void onRemoved(String key) {
-            decoder.evacuatedDataCentre(key).ifPresent(dataCentres::remove);
+            decoder.evacuatedDataCentre(key).ifPresent(evacuatedAtByDataCentre::remove);
         }
 
         @Override
         public void onComplete() {
-            if (!dataCentres.equals(evacuatedDataCentres)) {
-                evacuatedDataCentres = Set.copyOf(dataCentres);
-                EventLog.info("evacuation-seen", "dataCentres=" + evacuatedDataCentres);
-                events.accept(new ServingEvent.EvacuationsChanged(evacuatedDataCentres));
+            Set<String> evacuated = evacuatedAtByDataCentre.keySet();
+            if (!areEvacuationsPublished || !evacuated.equals(publishedEvacuations)) {
+                areEvacuationsPublished = true;
+                publishedEvacuations = Set.copyOf(evacuated);
+                EventLog.info("evacuation-seen", "dataCentres=" + describeEvacuations());
+                events.accept(new ServingEvent.EvacuationsChanged(evacuatedAtByDataCentre));
             }
             readiness.markOperatorsKnown();
         }
+
+        private Map<String, String> describeEvacuations() {
+            long nowNanos = System.nanoTime();
+            Map<String, String> ageByDataCentre = new TreeMap<>();
+            evacuatedAtByDataCentre.forEach(
+                    (dataCentre, evacuatedAt) -> ageByDataCentre.put(dataCentre, evacuatedAt.describe(nowNanos)));
+            return ageByDataCentre;
+        }
     }
 }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/RouterListener.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/RouterListener.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import org.daisyscale.core.following.ViewListener;
 import org.daisyscale.core.platform.CoordinationStore.Item;
+import org.daisyscale.core.serving.EventTime;
 import org.daisyscale.core.serving.LossRecord;
 import org.daisyscale.core.serving.ServingEvent;
 import org.daisyscale.router.internal.json.Json;
@@ -43,7 +44,7 @@
     }
 
     @Override
-    public void onWritten(Item item, long maxAgeMillis) {
+    public void onWritten(Item item, EventTime writtenAt) {
         if (item.key().startsWith(StoreKeys.LOSSES)) {
             readLosses(item);
             return;
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/following/RemovalListener.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/following/RemovalListener.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.daisyscale.core.following.ViewListener;
 import org.daisyscale.core.platform.CoordinationStore.Item;
+import org.daisyscale.core.serving.EventTime;
 
 /** Records the removals of a view. Not thread-safe; confined to one thread. */
 final class RemovalListener implements ViewListener {
@@ -15,7 +16,7 @@
     }
 
     @Override
-    public void onWritten(Item item, long maxAgeMillis) {
+    public void onWritten(Item item, EventTime writtenAt) {
         // Only removals count.
     }
 
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/following/SimulatedRouter.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/following/SimulatedRouter.java
@@ -15,6 +15,7 @@
 import org.daisyscale.core.following.ViewListener;
 import org.daisyscale.core.peer.PeerMessage;
 import org.daisyscale.core.platform.CoordinationStore.Item;
+import org.daisyscale.core.serving.EventTime;
 import org.daisyscale.router.internal.ring.Ring;
 
 /** A router that follows the servers in simulated time. Not thread-safe. */
@@ -160,7 +161,7 @@
 
     private final class HeldItems implements ViewListener {
         @Override
-        public void onWritten(Item item, long maxAgeMillis) {
+        public void onWritten(Item item, EventTime writtenAt) {
             Long newest = newestRevisionByKey.put(item.key(), item.revision());
             if (newest != null && newest >= item.revision()) {
                 itemsThatCameBack.add(
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ChangesWhileTheStoreStallsTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ChangesWhileTheStoreStallsTest.java
@@ -24,6 +24,7 @@
 import org.daisyscale.core.following.ViewFollower;
 import org.daisyscale.core.following.ViewListener;
 import org.daisyscale.core.platform.CoordinationStore.Item;
+import org.daisyscale.core.serving.EventTime;
 import org.daisyscale.core.serving.ServingEvent;
 import org.daisyscale.router.internal.duty.DutyThread;
 import org.daisyscale.router.internal.following.FollowDuty;
@@ -346,7 +347,7 @@
     private final class RevisionListener implements ViewListener {
 
         @Override
-        public void onWritten(Item item, long maxAgeMillis) {
+        public void onWritten(Item item, EventTime writtenAt) {
             inForceNanos.putIfAbsent(item.revision() - FIRST_REVISION, System.nanoTime());
         }
 
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ControllerView.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ControllerView.java
@@ -10,6 +10,7 @@
 import org.daisyscale.core.following.ViewVersion;
 import org.daisyscale.core.platform.CoordinationStore.Item;
 import org.daisyscale.core.platform.CoordinationStore.Listing;
+import org.daisyscale.core.serving.EventTime;
 import org.daisyscale.router.internal.following.FollowEvent;
 
 /** The view of the controller {@code r7}, and what it sends to other routers. Not thread-safe. */
@@ -32,7 +33,7 @@
 
     /** Lists {@code items} at {@code revision}. */
     ControllerView list(long revision, Item... items) {
-        contents.applyListing(new Listing(List.of(items), revision), new ReadCircumstances(0, false));
+        contents.applyListing(new Listing(List.of(items), revision), new ReadCircumstances(EventTime.UNKNOWN, false));
         return this;
     }
 
@@ -68,7 +69,7 @@
     static final class IgnoringListener implements ViewListener {
 
         @Override
-        public void onWritten(Item item, long maxAgeMillis) {
+        public void onWritten(Item item, EventTime writtenAt) {
             // Only the view is needed.
         }
 
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/EvacuationWithConfigurationTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/EvacuationWithConfigurationTest.java
@@ -14,6 +14,7 @@
 import org.daisyscale.core.platform.CoordinationStore.Item;
 import org.daisyscale.core.platform.CoordinationStore.Listing;
 import org.daisyscale.core.serving.BackendServer;
+import org.daisyscale.core.serving.EventTime;
 import org.daisyscale.core.serving.RequestHead;
 import org.daisyscale.core.serving.RequestLimits;
 import org.daisyscale.core.serving.RequestRouter;
@@ -31,7 +32,7 @@
 @Tag("known-red")
 class EvacuationWithConfigurationTest {
     private static final String EVACUATED = "z1";
-    private static final ReadCircumstances CIRCUMSTANCES = new ReadCircumstances(0, false);
+    private static final ReadCircumstances CIRCUMSTANCES = new ReadCircumstances(EventTime.UNKNOWN, false);
 
     private final RequestRouter router = startRouter();
     private final List<String> usedDataCentres = new ArrayList<>();
@@ -92,7 +93,7 @@
         ViewUpdate whole = controller.updateFrom(new ViewVersion(0, 0), true);
         learnServers();
 
-        assertThat(state.applyUpdate(whole, "r2", 0)).isEqualTo(UpdateResult.APPLIED);
+        assertThat(state.applyUpdate(whole, "r2", EventTime.UNKNOWN)).isEqualTo(UpdateResult.APPLIED);
 
         assertThat(usedDataCentres).doesNotContain(EVACUATED);
     }
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FollowDutyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FollowDutyTest.java
@@ -20,6 +20,7 @@
 import org.daisyscale.core.platform.CoordinationStore.Item;
 import org.daisyscale.core.platform.CoordinationStore.ItemChange;
 import org.daisyscale.core.platform.CoordinationStore.Listing;
+import org.daisyscale.core.serving.EventTime;
 import org.daisyscale.router.internal.following.FollowDuty;
 import org.daisyscale.router.internal.following.FollowEvent;
 import org.daisyscale.router.internal.following.FollowReports;
@@ -45,7 +46,7 @@
     private FollowDuty createDuty(StoreReader reader) {
         ViewListener listener = new ViewListener() {
             @Override
-            public void onWritten(Item item, long maxAgeMillis) {
+            public void onWritten(Item item, EventTime writtenAt) {
                 writtenKeys.add(item.key());
             }
 
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FollowOperatorsTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FollowOperatorsTest.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -23,6 +24,7 @@
 import org.daisyscale.core.platform.CoordinationStore.Item;
 import org.daisyscale.core.platform.CoordinationStore.Listing;
 import org.daisyscale.core.serving.ConfigurationSource;
+import org.daisyscale.core.serving.EventTime;
 import org.daisyscale.core.serving.RoutingTableChange;
 import org.daisyscale.core.serving.ServingEvent;
 import org.daisyscale.router.internal.following.FollowDuty;
@@ -91,6 +93,13 @@
                 .toList();
     }
 
+    private List<Set<String>> publishedEvacuations() {
+        return events.stream()
+                .filter(ServingEvent.EvacuationsChanged.class::isInstance)
+                .map(event -> ((ServingEvent.EvacuationsChanged) event).dataCentres())
+                .toList();
+    }
+
     private void readVersionOne() throws InterruptedException {
         store.enqueueListing(new Listing(List.of(configuration(1, 5)), 6));
         duty.runStep();
@@ -110,7 +119,7 @@
         duty.runStep();
 
         assertThat(publishedVersions()).containsExactly(1L, 2L);
-        assertThat(events).contains(new ServingEvent.EvacuationsChanged(Set.of("z1")));
+        assertThat(publishedEvacuations()).last().isEqualTo(Set.of("z1"));
         assertThat(store.callCount()).isEqualTo(1);
     }
 
@@ -125,6 +134,7 @@
         assertThat(events)
                 .containsExactly(
                         new ServingEvent.TableChanged(table(1), ConfigurationSource.fromStore(5)),
+                        new ServingEvent.EvacuationsChanged(Set.of()),
                         new ServingEvent.TableChanged(table(2), ConfigurationSource.fromController("r7", 9)));
     }
 
@@ -201,7 +211,7 @@
         duty.runStep();
 
         assertThat(publishedVersions()).containsExactly(3L);
-        assertThat(events).noneMatch(ServingEvent.EvacuationsChanged.class::isInstance);
+        assertThat(publishedEvacuations()).containsExactly(Set.of());
     }
 
     @Test
@@ -269,7 +279,7 @@
         inbox.offer(controller.list(9, configuration(1, 5), evacuation("z1", 9)).report());
         inbox.offer(controller.updateFrom(6));
         duty.runStep();
-        assertThat(events).last().isEqualTo(new ServingEvent.EvacuationsChanged(Set.of("z1")));
+        assertThat(publishedEvacuations()).last().isEqualTo(Set.of("z1"));
         advance(MAX_SILENCE_MILLIS);
         store.enqueueListing(new Listing(List.of(configuration(1, 5)), 12));
 
@@ -329,4 +339,35 @@
 
         assertThat(followerEvents).last().isEqualTo(new ServingEvent.EvacuationsChanged(Set.of()));
     }
+
+    /** Guards against an evacuation that counts from when a router lists it, which may be long after (EVAC). */
+    @Test
+    void shouldNotTakeAnEvacuationInItsFirstListingForANewOne() throws InterruptedException {
+        store.enqueueListing(new Listing(List.of(configuration(1, 5), evacuation("z1", 6)), 6));
+
+        duty.runStep();
+
+        assertThat(lastEvacuations()).containsEntry("z1", EventTime.UNKNOWN);
+    }
+
+    @Test
+    void shouldSayWhenAnEvacuationMayHaveBeenAcknowledgedThatItHearsOfLate() throws InterruptedException {
+        readVersionOneAndHearTheController();
+        duty.runStep();
+        advance(MAX_SILENCE_MILLIS);
+        store.enqueueListing(new Listing(List.of(configuration(1, 5), evacuation("z1", 9)), 9));
+
+        duty.runStep();
+
+        assertThat(lastEvacuations().get("z1"))
+                .matches(time -> time.isKnown() && time.mayBePast(MAX_SILENCE_MILLIS, clockNanos.get()));
+    }
+
+    private Map<String, EventTime> lastEvacuations() {
+        return events.stream()
+                .filter(ServingEvent.EvacuationsChanged.class::isInstance)
+                .map(event -> ((ServingEvent.EvacuationsChanged) event).evacuatedAtByDataCentre())
+                .reduce((first, second) -> second)
+                .orElseThrow();
+    }
 }
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FollowServersTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FollowServersTest.java
@@ -17,6 +17,7 @@
 import org.daisyscale.core.platform.CoordinationStore;
 import org.daisyscale.core.platform.CoordinationStore.Item;
 import org.daisyscale.core.platform.CoordinationStore.Listing;
+import org.daisyscale.core.serving.EventTime;
 import org.daisyscale.router.internal.following.FollowDuty;
 import org.daisyscale.router.internal.following.FollowEvent;
 import org.daisyscale.router.internal.following.FollowReports;
@@ -36,14 +37,14 @@
     private final AtomicLong clockNanos = new AtomicLong(5);
     private final ScriptedStore store = new ScriptedStore();
     private final List<String> notifications = new ArrayList<>();
-    private final List<Long> maxAgesMillis = new ArrayList<>();
+    private final List<EventTime> writtenAt = new ArrayList<>();
     private final Ring<FollowEvent> inbox = PeriodicRing.ofOffered(clockNanos);
     private final RecordingPeers peers = new RecordingPeers();
     private final ControllerView controller = ControllerView.ofServers();
     private final ViewListener listener = new ViewListener() {
         @Override
-        public void onWritten(Item item, long maxAgeMillis) {
-            maxAgesMillis.add(maxAgeMillis);
+        public void onWritten(Item item, EventTime itemWrittenAt) {
+            writtenAt.add(itemWrittenAt);
             if (item.key().equals("servers/odd")) {
                 throw new IllegalStateException("the listener cannot handle this item");
             }
@@ -125,7 +126,7 @@
 
     /** Guards against a leaving server whose time counts only from when a router hears of it, after a silence. */
     @Test
-    void shouldSayHowLongAgoAnItemMayHaveBeenWritten() throws InterruptedException {
+    void shouldSayWhenAnItemMayHaveBeenWritten() throws InterruptedException {
         store.enqueueListing(new Listing(List.of(item("servers/a", 4)), 5));
         duty.runStep();
         runStepsFor(1_200);
@@ -134,7 +135,7 @@
         runUntilNextCall();
 
         assertThat(notifications).contains("written servers/a@7");
-        assertThat(maxAgesMillis.get(maxAgesMillis.size() - 1)).isGreaterThanOrEqualTo(1_200);
+        assertThat(writtenAt).last().matches(time -> time.isKnown() && time.mayBePast(1_200, clockNanos.get()));
     }
 
     @Test
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FollowingRouter.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/FollowingRouter.java
@@ -17,6 +17,7 @@
 import org.daisyscale.core.platform.CoordinationStore;
 import org.daisyscale.core.platform.CoordinationStore.Item;
 import org.daisyscale.core.serving.BackendServer;
+import org.daisyscale.core.serving.EventTime;
 import org.daisyscale.core.serving.RequestLimits;
 import org.daisyscale.core.serving.Route;
 import org.daisyscale.core.serving.Route.WeightedService;
@@ -183,7 +184,7 @@
             implements ViewListener {
 
         @Override
-        public void onWritten(Item item, long maxAgeMillis) {
+        public void onWritten(Item item, EventTime writtenAt) {
             revisionByServer.put(item.key(), item.revision());
             revisionsByServer
                     .computeIfAbsent(item.key(), key -> new CopyOnWriteArrayList<>())
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/OperatorStateModelTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/OperatorStateModelTest.java
@@ -12,6 +12,7 @@
 import org.daisyscale.core.following.UpdateResult;
 import org.daisyscale.core.following.ViewUpdate;
 import org.daisyscale.core.following.ViewVersion;
+import org.daisyscale.core.serving.EventTime;
 import org.daisyscale.core.serving.RoutingTable;
 import org.daisyscale.core.serving.ServingEvent;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -172,16 +173,17 @@
             if (state.version().revision() == 0 || random.nextBoolean()) {
                 list(Math.max(10, store.revision() - (random.nextInt(3) == 0 ? 4 : 0)));
             } else {
-                state.applyChanges(store.watch(state.version().revision()), new ReadCircumstances(0, false));
+                state.applyChanges(
+                        store.watch(state.version().revision()), new ReadCircumstances(EventTime.UNKNOWN, false));
             }
         }
 
         void list(long revision) {
-            state.applyListing(store.list(revision), new ReadCircumstances(0, false));
+            state.applyListing(store.list(revision), new ReadCircumstances(EventTime.UNKNOWN, false));
         }
 
         UpdateResult apply(ViewUpdate update) {
-            return state.applyUpdate(update, "r7", 0);
+            return state.applyUpdate(update, "r7", EventTime.UNKNOWN);
         }
 
         void check(String name) {
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/OperatorStateUpdateTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/OperatorStateUpdateTest.java
@@ -14,6 +14,7 @@
 import org.daisyscale.core.following.ViewVersion;
 import org.daisyscale.core.platform.CoordinationStore.Item;
 import org.daisyscale.core.platform.CoordinationStore.Listing;
+import org.daisyscale.core.serving.EventTime;
 import org.daisyscale.core.serving.RequestLimits;
 import org.daisyscale.core.serving.Route;
 import org.daisyscale.core.serving.Route.WeightedService;
@@ -63,7 +64,7 @@
 
     @BeforeEach
     void holdTheOlderTable() {
-        assertThat(state.applyUpdate(whole(5, OLDER), "r7", 0)).isEqualTo(UpdateResult.APPLIED);
+        assertThat(state.applyUpdate(whole(5, OLDER), "r7", EventTime.UNKNOWN)).isEqualTo(UpdateResult.APPLIED);
     }
 
     private List<RoutingTable> tables() {
@@ -89,8 +90,8 @@
 
     @Test
     void shouldApplyAChangeThatLeadsToItsTable() {
-        UpdateResult result =
-                state.applyUpdate(update(6, false, change(List.of(route("b", 2)), List.of(1), Set.of())), "r7", 0);
+        UpdateResult result = state.applyUpdate(
+                update(6, false, change(List.of(route("b", 2)), List.of(1), Set.of())), "r7", EventTime.UNKNOWN);
 
         assertThat(result).isEqualTo(UpdateResult.APPLIED);
         assertThat(tables()).containsExactly(OLDER, NEWER);
@@ -101,12 +102,12 @@
     void shouldRefuseAChangeThatDoesNotLeadToItsTableAndApplyTheWholeOneThatAnswersIt(RoutingTableChange change) {
         ViewVersion held = state.version();
 
-        UpdateResult result = state.applyUpdate(update(6, false, change), "r7", 0);
+        UpdateResult result = state.applyUpdate(update(6, false, change), "r7", EventTime.UNKNOWN);
         assertThat(result).isEqualTo(UpdateResult.DOES_NOT_APPLY);
         assertThat(result.needsWhole()).isTrue();
         assertThat(state.version()).isEqualTo(held);
         assertThat(tables()).containsExactly(OLDER);
-        UpdateResult answer = state.applyUpdate(whole(6, NEWER), "r7", 0);
+        UpdateResult answer = state.applyUpdate(whole(6, NEWER), "r7", EventTime.UNKNOWN);
 
         assertThat(answer).isEqualTo(UpdateResult.APPLIED);
         assertThat(tables()).containsExactly(OLDER, NEWER);
@@ -118,10 +119,10 @@
         RoutingTableChange ofOther = new RoutingTableChange(
                 Set.of(1L, 2L), 2, List.of(route("b", 2)), List.of(1), Set.of(), Map.of(), LIMITS, otherNewer.digest());
 
-        UpdateResult result = state.applyUpdate(update(6, false, ofOther), "r7", 0);
+        UpdateResult result = state.applyUpdate(update(6, false, ofOther), "r7", EventTime.UNKNOWN);
         assertThat(result).isEqualTo(UpdateResult.DOES_NOT_APPLY);
         assertThat(tables()).containsExactly(OLDER);
-        UpdateResult answer = state.applyUpdate(whole(6, otherNewer), "r7", 0);
+        UpdateResult answer = state.applyUpdate(whole(6, otherNewer), "r7", EventTime.UNKNOWN);
 
         assertThat(answer).isEqualTo(UpdateResult.APPLIED);
         assertThat(tables()).containsExactly(OLDER, otherNewer);
@@ -133,7 +134,7 @@
         RoutingTableChange incomplete = new RoutingTableChange(
                 Set.of(), 2, List.of(route("b", 2)), List.of(0), Set.of(), Map.of(), LIMITS, NEWER.digest());
 
-        UpdateResult result = empty.applyUpdate(update(6, true, incomplete), "r7", 0);
+        UpdateResult result = empty.applyUpdate(update(6, true, incomplete), "r7", EventTime.UNKNOWN);
 
         assertThat(result).isEqualTo(UpdateResult.DOES_NOT_APPLY);
         assertThat(empty.version()).isEqualTo(ViewVersion.NONE);
@@ -142,9 +143,10 @@
     @Test
     void shouldIgnoreAnUpdateThatIsOlderThanWhatWasRead() {
         state.applyListing(
-                new Listing(List.of(NumberedConfigurations.configuration(3, 9)), 12), new ReadCircumstances(0, false));
+                new Listing(List.of(NumberedConfigurations.configuration(3, 9)), 12),
+                new ReadCircumstances(EventTime.UNKNOWN, false));
 
-        UpdateResult result = state.applyUpdate(whole(6, NEWER), "r7", 0);
+        UpdateResult result = state.applyUpdate(whole(6, NEWER), "r7", EventTime.UNKNOWN);
 
         assertThat(result).isEqualTo(UpdateResult.OLDER);
         assertThat(tables()).extracting(RoutingTable::version).containsExactly(1L, 3L);
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/RestoredStoreModel.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/RestoredStoreModel.java
@@ -52,6 +52,7 @@
         this.fault = fault;
         IntStream.range(0, ROUTERS).forEach(index -> routers.add(new ModelController(this, store, "r" + index)));
         ServiceRules rules = new ServiceRules("stock", "/health", 120, 3_000, 7, true, 5_000);
+        changeFleet(new ServingEvent.EvacuationsChanged(Set.of()));
         changeFleet(new ServingEvent.TableChanged(
                 new RoutingTable(1, List.of(), Map.of("stock", rules), new RequestLimits(1, 1, 1, 1))));
         for (int index = 0; index < SERVERS; index++) {
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/UncertainRouteReplyTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/UncertainRouteReplyTest.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -64,6 +65,7 @@
         ServingHandler handler = new ServingHandler(
                 new MillisDialect(), events, exchanges, new CallerConnections(), new ByteBudget(1 << 20), metrics);
         server = HttpServers.start(address, handler);
+        events.put(new ServingEvent.EvacuationsChanged(Set.of()));
         events.put(new ServingEvent.TableChanged(NumberedConfigurations.table(403)));
         socket = new Socket(address.host(), address.port());
         socket.setSoTimeout(READ_TIMEOUT_MILLIS);
