--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/DirectRequestRouter.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/DirectRequestRouter.java
@@ -87,7 +87,7 @@
     }
 
     private void applyKeyMap(ServingEvent.KeyMapChanged changed, long nowNanos) {
-        if (fleet.replaceKeyMap(changed.map())) {
+        if (fleet.replaceKeyMap(changed.map(), nowNanos)) {
             coordinator.placePending(changed.map().service(), nowNanos);
         }
     }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/FleetView.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/FleetView.java
@@ -19,6 +19,7 @@
     private final ServerRegistry servers = new ServerRegistry();
     private final ServerNotices notices = new ServerNotices(servers);
     private final Map<String, KeyMap> keyMapByService = new HashMap<>();
+    private final Map<String, LateGrants> lateGrantsByService = new HashMap<>();
     private final RouterMembership routers;
     private final ConfigurationStatus configuration = new ConfigurationStatus();
     private RoutingTable table;
@@ -104,15 +105,21 @@
     }
 
     /** Replaces the key map of {@code newer}'s service unless {@code newer} is stale; returns whether it did. */
-    boolean replaceKeyMap(KeyMap newer) {
+    boolean replaceKeyMap(KeyMap newer, long nowNanos) {
         KeyMap known = keyMapByService.get(newer.service());
         if (known != null && !newer.isNewerThan(known)) {
             return false;
         }
         keyMapByService.put(newer.service(), newer);
+        lateGrants(newer.service()).replace(newer, nowNanos);
         return true;
     }
 
+    /** Returns which grants may still take effect late at the servers of {@code service}. */
+    LateGrants lateGrants(String service) {
+        return lateGrantsByService.computeIfAbsent(service, name -> new LateGrants());
+    }
+
     Optional<KeyMap> keyMap(String service) {
         return Optional.ofNullable(keyMapByService.get(service));
     }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/OwnerPlacer.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/serving/OwnerPlacer.java
@@ -23,6 +23,8 @@
     private static final double EVACUATED_FRACTION = 0.7;
     /** Interval between attempts to place a request for a moving range, in milliseconds; a new key map comes first. */
     private static final long MOVING_RANGE_RECHECK_MILLIS = 60;
+    /** Limit of the wait for late grants, in milliseconds; stands for the longest hold where that is not known. */
+    private static final long MAX_WAIT_MILLIS = 10_000;
     /** Retry-after advice without an owner, in milliseconds; a lost owner's range is back within seconds. */
     private static final long NO_OWNER_RETRY_AFTER_MILLIS = 600;
 
@@ -63,7 +65,8 @@
 
     /**
      * Places the request at a predecessor, which serves a moving range until it gives the range up or its grant ends,
-     * and rejects requests from then on.
+     * and rejects requests from then on. The request waits for the new owner, which gets the range only when no grant
+     * to a predecessor may take effect any more.
      */
     private Placement placeAtPredecessor(KeyAssignment assignment, OpenRequest request, long nowNanos) {
         for (Owner predecessor : assignment.predecessors()) {
@@ -75,10 +78,12 @@
                 return placement;
             }
         }
+        long lateGrantMillis = fleet.lateGrants(request.service()).leftMillis(assignment, nowNanos);
+        long waitMillis = Math.max(MOVING_RANGE_RECHECK_MILLIS, Math.min(lateGrantMillis, MAX_WAIT_MILLIS));
         return new Placement.Wait(
-                nowNanos + MOVING_RANGE_RECHECK_MILLIS * 1_000_000L,
+                nowNanos + waitMillis * 1_000_000L,
                 CoreErrorCode.NO_OWNER,
-                NO_OWNER_RETRY_AFTER_MILLIS);
+                Math.max(NO_OWNER_RETRY_AFTER_MILLIS, waitMillis));
     }
 
     private Optional<ServerView> view(Owner owner) {
