--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServerRegistry.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServerRegistry.java
@@ -28,6 +28,9 @@
     private final Map<String, Long> bornByLeavingId = new LinkedHashMap<>();
 
     private Set<String> evacuatedDataCentres = Set.of();
+    /** Until then, any data centre may be evacuated. */
+    private boolean areEvacuationsKnown;
+
     private RoutingTable table;
 
     /** Updates the registry with a change of the fleet; ignores other events and older routing tables. */
@@ -80,6 +83,12 @@
                 .forEach(server -> rules(server.service())
                         .ifPresent(rules -> markCold(server.id(), rules.coldStartMillis(), nowNanos)));
         evacuatedDataCentres = dataCentres;
+        areEvacuationsKnown = true;
+    }
+
+    /** Returns whether it is known which data centres are evacuated; until then, no server may get more keys. */
+    boolean areEvacuationsKnown() {
+        return areEvacuationsKnown;
     }
 
     /** Returns the names of the sharded services of the configuration, sorted. */
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServiceKeyCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServiceKeyCoordinator.java
@@ -17,6 +17,9 @@
  * Coordinates the keys of one service: plans changes of the key map, writes them and makes the grant and release calls.
  * A change takes effect only once it is stored; while a write is in flight, no range that it changes is granted.
  *
+ * <p>Until it is known which data centres are evacuated, no server gets keys that it didn't own. Standing grants and
+ * moves under way go on.
+ *
  * <p>A map that was written before the store was restored may lack moves. Only a controller whose control lasted until
  * the restore goes on with the map that it knows; any other one makes no grant until those of before have expired. The
  * first map of an era has a version and fences above all earlier ones.
@@ -269,7 +272,8 @@
     private Optional<KeyMap> plan(CallTerms terms, long nowNanos) {
         List<BackendServer> usable = registry.usable(service);
         if (map == null) {
-            return usable.isEmpty() ? Optional.empty() : Optional.of(initialMap(usable));
+            boolean mayGiveKeys = registry.areEvacuationsKnown() && !usable.isEmpty();
+            return mayGiveKeys ? Optional.of(initialMap(usable)) : Optional.empty();
         }
         MapDraft draft = draft(usable, terms, nowNanos);
         boolean isDue = draft.isUrgent() || isSinceLastWrite(SETTLE_DELAY_MILLIS, nowNanos);
@@ -284,6 +288,16 @@
             draft.reserveFences();
         }
         SETTLE.plan(draft, context);
+        if (registry.areEvacuationsKnown()) {
+            planNewOwners(draft, context, nowNanos);
+        }
+        if (draft.isUrgent() || isSinceLastWrite(MERGE_DELAY_MILLIS, nowNanos)) {
+            MERGE.plan(draft, context);
+        }
+        return draft;
+    }
+
+    private void planNewOwners(MapDraft draft, PlanContext context, long nowNanos) {
         LOST_OWNER.plan(draft, context);
         if (nowNanos - balanceDueNanos >= 0) {
             balanceDueNanos = nowNanos + BALANCE_PERIOD_MILLIS * 1_000_000L;
@@ -291,10 +305,6 @@
             HOT_KEY.plan(draft, context);
             BALANCE.plan(draft, context);
         }
-        if (draft.isUrgent() || isSinceLastWrite(MERGE_DELAY_MILLIS, nowNanos)) {
-            MERGE.plan(draft, context);
-        }
-        return draft;
     }
 
     private MoveGuard moveGuard(CallTerms terms, long nowNanos) {
--- a/daisyscale-core/src/test/java/org/daisyscale/core/keys/KeyControllerScenario.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/keys/KeyControllerScenario.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.daisyscale.core.serving.BackendServer;
 import org.daisyscale.core.serving.KeyAssignment;
 import org.daisyscale.core.serving.KeyAssignment.Owner;
@@ -60,6 +61,7 @@
         ServiceRules rules = new ServiceRules("stock", "/health", 120, 3_000, 7, true, 5_000);
         changeFleet(new ServingEvent.TableChanged(
                 new RoutingTable(1, List.of(), Map.of("stock", rules), new RequestLimits(1, 1, 1, 1))));
+        changeFleet(new ServingEvent.EvacuationsChanged(Set.of()));
         for (String id : serverIds) {
             changeFleet(new ServingEvent.ServerChanged(server(id, 1, false)));
         }
--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/FleetReplay.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/FleetReplay.java
@@ -82,6 +82,7 @@
         renewRegistrations();
         broadcast(new ServingEvent.EvacuationsChanged(Set.of()));
         broadcast(new ServingEvent.TableChanged(table()));
+        broadcast(new ServingEvent.EvacuationsChanged(Set.of()));
         for (int index = 0; index < speeds.length; index++) {
             join("server-" + (10 + index), speeds[index], 0);
         }
@@ -285,6 +286,7 @@
         grants.dropOutstandingAnswers();
         controller = KeyController.create(new KeySettings(10_000));
         sendTable();
+        handleByController(new KeyEvent.FleetChanged(new ServingEvent.EvacuationsChanged(Set.of())));
         serverById.values().stream()
                 .filter(server -> !server.isDown())
                 .forEach(server -> handleByController(
