--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/FleetReplay.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/FleetReplay.java
@@ -10,10 +10,7 @@
 import java.util.function.IntSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
-import org.daisyscale.core.keys.KeyAction;
-import org.daisyscale.core.keys.KeyController;
 import org.daisyscale.core.keys.KeyEvent;
-import org.daisyscale.core.keys.KeySettings;
 import org.daisyscale.core.serving.AttemptOutcome;
 import org.daisyscale.core.serving.BackendServer;
 import org.daisyscale.core.serving.EventTime;
@@ -46,11 +43,10 @@
     private static final double NOISE_FACTOR = 3;
     private static final double NOISE_PERIOD_MILLIS = 400;
     private static final double NETWORK_DELAY_MILLIS = 1.5;
-    private static final double STORE_DELAY_MILLIS = 6;
-    private static final long LEASE_NANOS = 1_300_000_000L;
     private static final long REGISTRATION_VALID_NANOS = 60_000_000_000L;
     private static final long REGISTRATION_PERIOD_MILLIS = 1_000;
     private static final String SERVICE = "stock";
+    private static final String HOME = "dc-1";
 
     private final Timeline time = new Timeline();
     private final UniformRandomProvider random;
@@ -59,37 +55,38 @@
     private final Map<String, ReplayedServer> serverByHost = new HashMap<>();
     private final Map<Long, Caller> callerById = new HashMap<>();
     private final Map<String, Integer> attemptsByServer = new HashMap<>();
-    private KeyController controller = KeyController.create(new KeySettings(10_000));
-    private long leaseUntilNanos;
     private final ReplayResult result = new ReplayResult();
-    private final GrantNetwork grants;
+    private final ReplayedControl control;
     private final boolean isSharded;
-    private KeyMap stored;
-    private long revision;
+    private final Set<String> evacuated = new HashSet<>();
     private long nextRequestId;
 
     FleetReplay(long seed, int routerCount, double[] speeds, boolean isSharded) {
+        this(seed, routerCount, speeds, isSharded, List.of(HOME));
+    }
+
+    /** Creates a fleet whose servers are in {@code dataCentres} by turns. */
+    FleetReplay(long seed, int routerCount, double[] speeds, boolean isSharded, List<String> dataCentres) {
         this.random = RandomSource.SPLIT_MIX_64.create(seed);
         this.isSharded = isSharded;
-        this.grants = new GrantNetwork(time, random, serverByHost, result, this::handleByController);
+        this.control = new ReplayedControl(
+                time, random, serverByHost, result, map -> broadcast(new ServingEvent.KeyMapChanged(map)));
         Set<String> routerIds = new HashSet<>();
         for (int index = 0; index < routerCount; index++) {
             routerIds.add("router-" + index);
-            routers.add(RequestRouter.create(new ServingSettings(
-                    "router-" + index, "dc-1", seed + index, 1.5, 5, 0.2, 60, 10_000, 2_000, 5_000)));
+            routers.add(RequestRouter.create(
+                    new ServingSettings("router-" + index, HOME, seed + index, 1.5, 5, 0.2, 60, 10_000, 2_000, 5_000)));
         }
         broadcast(new ServingEvent.RoutersChanged(routerIds));
         renewRegistrations();
-        broadcast(new ServingEvent.EvacuationsChanged(Set.of()));
         broadcast(new ServingEvent.TableChanged(table()));
-        broadcast(new ServingEvent.EvacuationsChanged(Set.of()));
+        broadcastEvacuations();
         for (int index = 0; index < speeds.length; index++) {
-            join("server-" + (10 + index), speeds[index], 0);
+            join("server-" + (10 + index), speeds[index], 0, dataCentres.get(index % dataCentres.size()));
         }
         changeNoise();
         if (isSharded) {
-            renewLease();
-            pollController();
+            control.start();
         }
     }
 
@@ -129,8 +126,12 @@
 
     /** Registers a new server that is cold for {@code coldMillis}. */
     ReplayedServer join(String id, double speed, long coldMillis) {
+        return join(id, speed, coldMillis, HOME);
+    }
+
+    private ReplayedServer join(String id, double speed, long coldMillis, String dataCentre) {
         String host = "10.0.0." + (serverByHost.size() + 1);
-        BackendServer registration = registration(id, host, coldMillis);
+        BackendServer registration = registration(id, host, coldMillis, dataCentre);
         ReplayedServer server = new ReplayedServer(time, registration, isSharded, speed);
         serverById.put(id, server);
         serverByHost.put(host, server);
@@ -138,8 +139,8 @@
         return server;
     }
 
-    private BackendServer registration(String id, String host, long coldMillis) {
-        return new BackendServer(id, (long) time.nowMillis(), SERVICE, host, 80, "dc-1", 3, false, coldMillis);
+    private BackendServer registration(String id, String host, long coldMillis, String dataCentre) {
+        return new BackendServer(id, (long) time.nowMillis(), SERVICE, host, 80, dataCentre, 3, false, coldMillis);
     }
 
     /**
@@ -150,8 +151,8 @@
         ReplayedServer server = serverById.get(serverId);
         server.crash();
         time.after(downMillis, () -> {
-            BackendServer registration =
-                    registration(newId, server.registration().host(), 0);
+            BackendServer before = server.registration();
+            BackendServer registration = registration(newId, before.host(), 0, before.dataCentre());
             server.restart(registration);
             serverById.put(newId, server);
             time.after(registrationDelayMillis, () -> {
@@ -168,7 +169,11 @@
     }
 
     GrantNetwork grants() {
-        return grants;
+        return control.grants();
+    }
+
+    ReplayedControl control() {
+        return control;
     }
 
     ReplayResult result() {
@@ -184,7 +189,7 @@
             handle(router, event);
         }
         if (!(event instanceof ServingEvent.KeyMapChanged)) {
-            handleByController(new KeyEvent.FleetChanged(event));
+            control.handle(new KeyEvent.FleetChanged(event));
         }
     }
 
@@ -208,7 +213,7 @@
         } else if (action instanceof ServingAction.Reject rejection) {
             handleRejection(callerById.remove(rejection.requestId()), rejection);
         } else if (action instanceof ServingAction.ReportKeyLoad report) {
-            time.after(NETWORK_DELAY_MILLIS, () -> handleByController(new KeyEvent.LoadReported(report.load())));
+            time.after(NETWORK_DELAY_MILLIS, () -> control.handle(new KeyEvent.LoadReported(report.load())));
         }
     }
 
@@ -272,25 +277,56 @@
         });
     }
 
-    private void renewLease() {
-        leaseUntilNanos = time.nowNanos() + LEASE_NANOS;
-        handleByController(new KeyEvent.LeaseRenewed(leaseUntilNanos));
-        time.after(400, this::renewLease);
-    }
-
     /**
      * Replaces the controller by one that knows the configuration, the registered servers and the stored map only; it
      * gets the lease at the next renewal.
      */
     void replaceController() {
-        grants.dropOutstandingAnswers();
-        controller = KeyController.create(new KeySettings(10_000));
-        sendTable();
-        handleByController(new KeyEvent.FleetChanged(new ServingEvent.EvacuationsChanged(Set.of())));
+        replaceController(0);
+    }
+
+    /** Replaces the controller by one that hears of the evacuations {@code evacuationsDelayMillis} after all else. */
+    void replaceController(double evacuationsDelayMillis) {
+        List<ServingEvent> known = new ArrayList<>(List.of(new ServingEvent.TableChanged(table())));
         serverById.values().stream()
                 .filter(server -> !server.isDown())
-                .forEach(server -> handleByController(
-                        new KeyEvent.FleetChanged(new ServingEvent.ServerChanged(server.registration()))));
+                .forEach(server -> known.add(new ServingEvent.ServerChanged(server.registration())));
+        control.replaceController(known, this::evacuations, evacuationsDelayMillis);
+    }
+
+    private ServingEvent evacuations() {
+        return new ServingEvent.EvacuationsChanged(Set.copyOf(evacuated));
+    }
+
+    private void broadcastEvacuations() {
+        broadcast(evacuations());
+    }
+
+    /** Evacuates the data centre. */
+    void evacuate(String dataCentre) {
+        evacuated.add(dataCentre);
+        broadcastEvacuations();
+    }
+
+    /** Ends the evacuation of the data centre. */
+    void takeBack(String dataCentre) {
+        evacuated.remove(dataCentre);
+        broadcastEvacuations();
+    }
+
+    /** Returns how many ranges of the stored map have an owner in the data centre. */
+    long rangesOwnedIn(String dataCentre) {
+        return control.stored().assignments().stream()
+                .map(assignment -> serverByHost.get(assignment.owner().host()))
+                .filter(server -> server.registration().dataCentre().equals(dataCentre))
+                .count();
+    }
+
+    /** Returns whether a server of the data centre holds any key. */
+    boolean holdsKeysIn(String dataCentre) {
+        return serverByHost.values().stream()
+                .filter(server -> server.registration().dataCentre().equals(dataCentre))
+                .anyMatch(server -> server.holdsAny(0, KeyMap.KEY_COUNT - 1));
     }
 
     /** Deregisters the server. */
@@ -320,59 +356,6 @@
         broadcast(new ServingEvent.ServerChanged(serverById.get(serverId).registration()));
     }
 
-    private void sendTable() {
-        handleByController(new KeyEvent.FleetChanged(new ServingEvent.EvacuationsChanged(Set.of())));
-        handleByController(new KeyEvent.FleetChanged(new ServingEvent.TableChanged(table())));
-    }
-
-    private void pollController() {
-        handleByController(new KeyEvent.TimePassed());
-        time.after(50, this::pollController);
-    }
-
-    private void handleByController(KeyEvent event) {
-        controller.handle(event, time.nowNanos()).forEach(this::run);
-    }
-
-    private void run(KeyAction action) {
-        if (action instanceof KeyAction.WriteMap write) {
-            KeyController writer = controller;
-            time.after(STORE_DELAY_MILLIS, () -> completeWrite(write, writer));
-        } else if (action instanceof KeyAction.ReadMap read) {
-            time.after(
-                    STORE_DELAY_MILLIS,
-                    () -> handleByController(
-                            stored == null
-                                    ? new KeyEvent.MapAbsent(read.service())
-                                    : new KeyEvent.MapRead(stored, revision)));
-        } else if (action instanceof KeyAction.PublishMap publish) {
-            time.after(NETWORK_DELAY_MILLIS, () -> broadcast(new ServingEvent.KeyMapChanged(publish.map())));
-        } else if (action instanceof KeyAction.SendGrant grant) {
-            grants.send(grant);
-        } else if (action instanceof KeyAction.SendRelease release) {
-            grants.send(release);
-        }
-    }
-
-    /** Stores the map if the stored one is still at the expected revision; only its writer learns the outcome. */
-    private void completeWrite(KeyAction.WriteMap write, KeyController writer) {
-        boolean isAccepted = write.expectedRevision() == revision;
-        if (isAccepted) {
-            result.recordMoves(stored, write.map());
-            stored = write.map();
-            revision++;
-        }
-        if (writer != controller) {
-            return;
-        }
-        if (isAccepted) {
-            handleByController(new KeyEvent.MapWritten(stored, revision));
-        } else {
-            handleByController(new KeyEvent.MapWriteFailed(SERVICE));
-            handleByController(new KeyEvent.MapRead(stored, revision));
-        }
-    }
-
     private record Caller(String path, double startMillis, int key, double workMillis, boolean mayRetry) {
 
         private Caller forRetry() {
