--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LeasedKeyController.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/LeasedKeyController.java
@@ -192,6 +192,7 @@
                     "keys-lease-ended", "the lease was not renewed in time; control stops until it is renewed"));
         }
         if (!isLeading) {
+            coordinatorByService.values().forEach(coordinator -> coordinator.abandonEvacuations(actions, nowNanos));
             nextStepNanos = Long.MAX_VALUE;
             return;
         }
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServerRegistry.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServerRegistry.java
@@ -28,6 +28,7 @@
     private final Map<String, Long> bornByLeavingId = new LinkedHashMap<>();
 
     private Set<String> evacuatedDataCentres = Set.of();
+    private final Map<String, Long> learnedNanosByEvacuated = new HashMap<>();
     /** Until then, any data centre may be evacuated. */
     private boolean areEvacuationsKnown;
 
@@ -84,6 +85,24 @@
                         .ifPresent(rules -> markCold(server.id(), rules.coldStartMillis(), nowNanos)));
         evacuatedDataCentres = dataCentres;
         areEvacuationsKnown = true;
+        learnedNanosByEvacuated.keySet().retainAll(dataCentres);
+        dataCentres.forEach(dataCentre -> learnedNanosByEvacuated.putIfAbsent(dataCentre, nowNanos));
+    }
+
+    Set<String> evacuatedDataCentres() {
+        return evacuatedDataCentres;
+    }
+
+    /** Returns when this process learned that {@code dataCentre} is evacuated. Only for metrics: it began earlier. */
+    long evacuationLearnedNanos(String dataCentre) {
+        return learnedNanosByEvacuated.get(dataCentre);
+    }
+
+    /** Returns the data centre of {@code owner}; empty if it isn't registered. */
+    Optional<String> dataCentre(Owner owner) {
+        return Optional.ofNullable(serverById.get(owner.serverId()))
+                .filter(owner::isIncarnation)
+                .map(BackendServer::dataCentre);
     }
 
     /** Returns whether it is known which data centres are evacuated; until then, no server may get more keys. */
--- a/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServiceKeyCoordinator.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/internal/keys/ServiceKeyCoordinator.java
@@ -59,6 +59,7 @@
     private final OwnerTracker owners;
     private final HoldLedger holds;
     private final RangeCallCoordinator calls;
+    private final EvacuationProgress evacuations;
     private final FenceBlock fences = new FenceBlock();
     private final LoadTracker load = new LoadTracker();
     private KeyMap map;
@@ -91,6 +92,7 @@
         this.owners = owners;
         this.holds = holds;
         this.calls = new RangeCallCoordinator(service, owners, holds, registry, fences, callIds);
+        this.evacuations = new EvacuationProgress(service, registry, calls);
     }
 
     RangeCallCoordinator calls() {
@@ -228,9 +230,15 @@
         if (map != null) {
             rangesKeptByPendingWrite().forEach(assignment -> calls.makeDueCalls(assignment, terms, actions, nowNanos));
             publish(terms, actions, nowNanos);
+            evacuations.report(map, actions, nowNanos);
         }
     }
 
+    /** Reports that this controller, which has no control now, follows no evacuation any more. */
+    void abandonEvacuations(List<KeyAction> actions, long nowNanos) {
+        evacuations.abandon(actions, nowNanos);
+    }
+
     private void reportWait(List<KeyAction> actions) {
         if (!isWaitReported) {
             isWaitReported = true;
--- a/daisyscale-core/src/main/java/org/daisyscale/core/keys/KeyAction.java
+++ b/daisyscale-core/src/main/java/org/daisyscale/core/keys/KeyAction.java
@@ -59,6 +59,31 @@
     /** Reads the map of {@code service} from the store. */
     record ReadMap(String service) implements KeyAction {}
 
+    /**
+     * The keys of {@code service} began to leave an evacuated data centre, went on leaving it or have left it. A range
+     * counts as there until an owner elsewhere holds its grant.
+     *
+     * @param service the service
+     * @param dataCentre the evacuated data centre
+     * @param state how far it is
+     * @param firstRanges the ranges with an owner there when this controller began
+     * @param ranges the ranges with an owner there now
+     * @param elapsedMillis the time since this process learned of the evacuation, in milliseconds
+     */
+    record EvacuationChanged(
+            String service, String dataCentre, State state, int firstRanges, int ranges, long elapsedMillis)
+            implements KeyAction {
+
+        /** How far the keys have left an evacuated data centre. */
+        public enum State {
+            STARTED,
+            UNDER_WAY,
+            COMPLETED,
+            /** The data centre was taken back, or this controller lost control. */
+            ABANDONED
+        }
+    }
+
     /** Writes a log line. */
     record Report(String event, String detail) implements KeyAction {}
 }
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/KeyDuty.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/KeyDuty.java
@@ -3,9 +3,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.daisyscale.core.keys.KeyAction;
+import org.daisyscale.core.keys.KeyAction.EvacuationChanged.State;
 import org.daisyscale.core.keys.KeyController;
 import org.daisyscale.core.keys.KeyEvent;
 import org.daisyscale.core.serving.KeyAssignment.Owner;
@@ -80,12 +82,29 @@
             link.publish(publish.map());
         } else if (action instanceof KeyAction.Report report) {
             EventLog.info(report.event(), report.detail());
+        } else if (action instanceof KeyAction.EvacuationChanged evacuation) {
+            record(evacuation);
         } else if (!mapActions.offer(action)) {
             metrics.ringFull(mapActions.name());
             EventLog.warn("key-map-work-dropped", "the ring of the key maps is full");
         }
     }
 
+    private void record(KeyAction.EvacuationChanged evacuation) {
+        metrics.evacuationChanged(evacuation);
+        if (evacuation.state() != State.UNDER_WAY) {
+            EventLog.info(
+                    "evacuation-" + evacuation.state().name().toLowerCase(Locale.ROOT),
+                    "dataCentre=%s service=%s ranges=%d left=%d elapsedMillis=%d"
+                            .formatted(
+                                    evacuation.dataCentre(),
+                                    evacuation.service(),
+                                    evacuation.firstRanges(),
+                                    evacuation.ranges(),
+                                    evacuation.elapsedMillis()));
+        }
+    }
+
     private void send(KeyAction.SendGrant grant) {
         WireCall call =
                 dialect.grant(grant.firstKey(), grant.lastKey(), grant.fence(), grant.holdMillis(), grant.handover());
--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingMetrics.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingMetrics.java
@@ -1,6 +1,7 @@
 package org.daisyscale.router.internal.serving;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
@@ -14,12 +15,15 @@
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
 import org.daisyscale.core.following.UpdateResult;
+import org.daisyscale.core.keys.KeyAction;
+import org.daisyscale.core.keys.KeyAction.EvacuationChanged.State;
 import org.daisyscale.router.internal.request.ByteBudget;
 import org.daisyscale.router.internal.ring.Ring;
 
 /** The metrics of a router that assigns requests to backend servers itself. Thread-safe. */
 final class ServingMetrics {
     private static final double[] LATENCY_BOUNDS_SECONDS = {0.01, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 5};
+    private static final double[] EVACUATION_BOUNDS_SECONDS = {0.1, 0.2, 0.5, 1, 2, 3, 4, 5, 8, 12, 20};
     private static final double MILLIS_PER_SECOND = 1e3;
 
     private final PrometheusRegistry registry = new PrometheusRegistry();
@@ -35,6 +39,8 @@
     private final StartTimes startTimes = new StartTimes();
     private final Counter storeCalls;
     private final Counter unreadResponses;
+    private final Histogram evacuation;
+    private final Gauge evacuatedRanges;
     private final AtomicLong configurationVersion = new AtomicLong();
     private final Map<String, LongSupplier> viewAgeByPrefix = new ConcurrentHashMap<>();
 
@@ -67,6 +73,18 @@
                 .classicUpperBounds(LATENCY_BOUNDS_SECONDS)
                 .labelNames("code")
                 .register(registry);
+        evacuation = Histogram.builder()
+                .name("daisyscale_serving_evacuation_seconds")
+                .help("Time from the arrival of an evacuation at the controller until no key has an owner there")
+                .classicOnly()
+                .classicUpperBounds(EVACUATION_BOUNDS_SECONDS)
+                .labelNames("service")
+                .register(registry);
+        evacuatedRanges = Gauge.builder()
+                .name("daisyscale_serving_evacuated_ranges")
+                .help("Key ranges whose owner is in an evacuated data centre, at the controller")
+                .labelNames("service", "data_centre")
+                .register(registry);
         GaugeWithCallback.builder()
                 .name("daisyscale_serving_view_age_seconds")
                 .help("Time since this router last knew that its view of the store misses nothing")
@@ -135,6 +153,15 @@
         storeCalls.labelValues(kind).inc();
     }
 
+    /** Records how far the keys of a service have left an evacuated data centre. */
+    void evacuationChanged(KeyAction.EvacuationChanged change) {
+        int ranges = change.state() == State.ABANDONED ? 0 : change.ranges();
+        evacuatedRanges.labelValues(change.service(), change.dataCentre()).set(ranges);
+        if (change.state() == State.COMPLETED) {
+            evacuation.labelValues(change.service()).observe(change.elapsedMillis() / MILLIS_PER_SECOND);
+        }
+    }
+
     /** Records that a request was rejected because its caller does not read the responses on its connection. */
     void callerFull() {
         unreadResponses.inc();
--- a/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ServingMetricsTest.java
+++ b/daisyscale-router/src/test/java/org/daisyscale/router/internal/serving/ServingMetricsTest.java
@@ -14,6 +14,8 @@
 import java.util.TreeSet;
 import java.util.stream.Collectors;
 import org.daisyscale.core.following.UpdateResult;
+import org.daisyscale.core.keys.KeyAction;
+import org.daisyscale.core.keys.KeyAction.EvacuationChanged.State;
 import org.daisyscale.core.platform.CoordinationStore;
 import org.daisyscale.core.quota.OrganisationCounts;
 import org.daisyscale.router.internal.request.ByteBudget;
@@ -81,6 +83,38 @@
                         "daisyscale_serving_organisation_credit_age_seconds{organisation=\"bakers\"} 0.25");
     }
 
+    private static KeyAction.EvacuationChanged evacuation(State state, int ranges, long elapsedMillis) {
+        return new KeyAction.EvacuationChanged("stock", "dc-2", state, 5, ranges, elapsedMillis);
+    }
+
+    @Test
+    void shouldGiveTheRangesInAnEvacuatedDataCentreAndTheTimeUntilItHasNone() {
+        metrics.evacuationChanged(evacuation(State.STARTED, 5, 10));
+        metrics.evacuationChanged(evacuation(State.UNDER_WAY, 2, 400));
+
+        assertThat(samples())
+                .contains("daisyscale_serving_evacuated_ranges{data_centre=\"dc-2\",service=\"stock\"} 2.0");
+
+        metrics.evacuationChanged(evacuation(State.COMPLETED, 0, 900));
+
+        assertThat(samples())
+                .contains(
+                        "daisyscale_serving_evacuated_ranges{data_centre=\"dc-2\",service=\"stock\"} 0.0",
+                        "daisyscale_serving_evacuation_seconds_count{service=\"stock\"} 1",
+                        "daisyscale_serving_evacuation_seconds_sum{service=\"stock\"} 0.9");
+    }
+
+    @Test
+    void shouldCountNoRangesOfAnEvacuationThatThisRouterNoLongerFollows() {
+        metrics.evacuationChanged(evacuation(State.STARTED, 5, 10));
+
+        metrics.evacuationChanged(evacuation(State.ABANDONED, 5, 90));
+
+        assertThat(samples())
+                .contains("daisyscale_serving_evacuated_ranges{data_centre=\"dc-2\",service=\"stock\"} 0.0")
+                .noneMatch(sample -> sample.startsWith("daisyscale_serving_evacuation_seconds_count"));
+    }
+
     @Test
     void shouldGiveTheTimeUntilTheFirstOccurrenceOfEachStepOfTheStart() {
         metrics.startTimes().mark(StartStep.EVACUATIONS_KNOWN);
@@ -124,6 +158,7 @@
         metrics.controllerUpdate("op/", UpdateResult.APPLIED);
         metrics.storeRead("op/", "list");
         metrics.callerFull();
+        metrics.evacuationChanged(evacuation(State.COMPLETED, 0, 900));
         metrics.registerCallerBytes(new ByteBudget(1));
         metrics.registerStoreEra(() -> 1);
         metrics.registerViewAge("op/", () -> 40);
