--- a/daisyscale-core/src/test/java/org/daisyscale/core/replay/GrantNetwork.java
+++ b/daisyscale-core/src/test/java/org/daisyscale/core/replay/GrantNetwork.java
@@ -16,7 +16,7 @@
     private static final double NETWORK_DELAY_MILLIS = 1.5;
     /** How long the controller waits for the answer to a grant, in milliseconds. */
     private static final double GRANT_TIMEOUT_MILLIS = 500;
-    /** One in this many grants is delayed while grants are delayed. */
+    /** One in this many grants is delayed unless another number is given. */
     private static final int DELAYED_GRANTS_ONE_IN = 8;
 
     private final Timeline time;
@@ -27,6 +27,7 @@
     private final FenceHistory fences = new FenceHistory();
     private final Set<String> partitionedServers = new HashSet<>();
     private double maxGrantDelayMillis;
+    private int delayedGrantsOneIn = DELAYED_GRANTS_ONE_IN;
     private boolean hasCopiedAnswers;
     private int controllerTerm;
 
@@ -57,6 +58,12 @@
         maxGrantDelayMillis = maxMillis;
     }
 
+    /** Delays one in {@code oneIn} grants by up to {@code maxMillis}. */
+    void delayGrants(double maxMillis, int oneIn) {
+        delayedGrantsOneIn = oneIn;
+        delayGrants(maxMillis);
+    }
+
     /** Lets a copy of an earlier answer pass for the answer to each delayed grant that needs no proof. */
     void copyAnswers() {
         hasCopiedAnswers = true;
@@ -78,7 +85,7 @@
 
     void send(KeyAction.SendGrant grant) {
         Consumer<KeyEvent> caller = answersForPresentController();
-        boolean isDelayed = maxGrantDelayMillis > 0 && random.nextInt(DELAYED_GRANTS_ONE_IN) == 0;
+        boolean isDelayed = maxGrantDelayMillis > 0 && random.nextInt(delayedGrantsOneIn) == 0;
         double delayMillis = isDelayed ? random.nextDouble() * maxGrantDelayMillis : 0;
         if (isDelayed && hasCopiedAnswers && !grant.needsProof()) {
             time.after(NETWORK_DELAY_MILLIS, () -> caller.accept(new KeyEvent.GrantAccepted(grant.callId(), false)));
