--- a/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingMetrics.java
+++ b/daisyscale-router/src/main/java/org/daisyscale/router/internal/serving/ServingMetrics.java
@@ -92,6 +92,10 @@
                 .callback(callback -> viewAgeByPrefix.forEach(
                         (prefix, ageMillis) -> callback.call(ageMillis.getAsLong() / MILLIS_PER_SECOND, prefix)))
                 .register(registry);
+        registerStartTimes();
+    }
+
+    private void registerStartTimes() {
         GaugeWithCallback.builder()
                 .name("daisyscale_serving_start_seconds")
                 .help("Time from the start of the process until a step of the router's start was done")
